Read the configuration again on SIGHUP and move the watch to its discovery

Now the file is read and checked whole, `known` included, before any of it counts; a fault is logged by its key and the old configuration stays. On reload the file's `discovery` goes before GW_DISCOVERY, which was right at the start alone. The new address is asked for the whole list, as revisions may mean nothing there; the call out at the old one still counts until the new list has come. The list's form is read in src/config (server_list), so a bad `known` now ends the start with status 2 and its key like any other fault.

Ruled out: moving the module too. It needs no word of it; a whole list is the event it knows.

--- a/src/config/node_config.cpp
+++ b/src/config/node_config.cpp
@@ -50,7 +50,7 @@
 
 }  // namespace
 
-NodeConfig read_node_config() {
+NodeConfig read_node_config(Occasion occasion) {
     std::string path = environment("GW_CONFIG");
     if (path.empty()) throw ConfigError("GW_CONFIG: not set");
     std::vector<std::string> pairs = read_file(path);
@@ -62,7 +62,9 @@
     NodeConfig config;
     config.name = told("GW_NAME", "name");
     config.listen = address("listen", told("GW_LISTEN", "listen"));
-    config.discovery = address("discovery", told("GW_DISCOVERY", "discovery"));
+    std::string in_file(file.find("discovery").value_or(""));
+    bool file_first = occasion == Occasion::Reload && !in_file.empty();
+    config.discovery = address("discovery", file_first ? in_file : told("GW_DISCOVERY", "discovery"));
     config.seed = read_seed(std::string(file.find("seed").value_or("")));
     try {
         if (file.find("limits.sockets")) config.sockets = file.whole<std::size_t>("limits.sockets");
@@ -71,7 +73,12 @@
     } catch (const std::runtime_error& error) {
         throw ConfigError(error.what());
     }
-    for (std::string_view pair : pairs_below(pairs, "known.")) config.known.emplace_back(pair);
+    std::vector<std::string_view> known = pairs_below(pairs, "known.");
+    try {
+        if (!known.empty()) config.known = read_server_list(known, config.names);
+    } catch (const std::runtime_error& error) {
+        throw ConfigError(std::string("known: ") + error.what());
+    }
     return config;
 }
 
--- a/src/config/node_config.h
+++ b/src/config/node_config.h
@@ -1,4 +1,4 @@
-// All that a node is told at its start: the one place that reads, checks and defaults it.
+// All that a node is told by its configuration: the one place that reads, checks and defaults it.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "config/decode.h"
+#include "config/server_list.h"
 #include "ochrehub/rules.h"
 
 namespace ochrehub {
@@ -25,11 +26,13 @@
     std::size_t sockets = 1024;
     Settings settings;
     Names names;
-    std::vector<std::string>
-        known;  ///< the server list of last time in discovery's form, as pairs; may be empty
+    ServerList known;  ///< the server list of last time; may be empty
 };
 
-/// From the environment's GW_* and the file that GW_CONFIG names. Throws ConfigError.
-NodeConfig read_node_config();
+/// At the start GW_DISCOVERY goes before the file. On reload the file does: it alone can have changed.
+enum class Occasion { Start, Reload };
+
+/// From the environment's GW_* and the file that GW_CONFIG names, all of it checked. Throws ConfigError.
+NodeConfig read_node_config(Occasion occasion);
 
 }  // namespace ochrehub
--- a/src/discovery/watcher.cpp
+++ b/src/discovery/watcher.cpp
@@ -29,9 +29,8 @@
       listed_(std::move(listed)),
       limit_(io) {}
 
-void Watcher::cached(const std::vector<std::string>& pairs) {
-    Listing listing;
-    if (!pairs.empty()) listing = decode(pairs);
+void Watcher::cached(const ServerList& known) {
+    Listing listing = listing_of(known);
     listing.update.kind = ListKind::Cached;
     listed_(listing);
 }
@@ -42,6 +41,24 @@
     asio::post(io_, [this] { call(); });
 }
 
+void Watcher::move_to(const asio::ip::tcp::endpoint& discovery) {
+    if (discovery == discovery_) return;
+    discovery_ = discovery;
+    has_list_ = false;  // its revisions may mean nothing there
+    drop(old_);
+    if (calling_ && connection_)
+        old_ = std::move(connection_);
+    else
+        drop(connection_);
+    calling_ = true;  // at once, even where the module waits before it asks again
+    call();
+}
+
+void Watcher::drop(std::shared_ptr<Connection>& connection) {
+    if (connection) connection->close();
+    connection.reset();
+}
+
 void Watcher::call() {
     std::string target = "/v1/servers";
     if (has_list_) target += "?index=" + std::to_string(revision_) + "&wait=" + std::to_string(kWait.count());
@@ -53,60 +70,63 @@
         if (!stopped) failed("no answer in time");
     });
     connection_->exchange("GET " + target + " HTTP/1.1\r\nHost: discovery\r\n\r\n", nullptr,
-                          [this](const std::shared_ptr<Connection>&, const Connection::Result& result) {
-                              answered(result);
+                          [this](const std::shared_ptr<Connection>& from, const Connection::Result& result) {
+                              answered(from, result);
                           });
 }
 
-void Watcher::answered(const Connection::Result& result) {
+void Watcher::answered(const std::shared_ptr<Connection>& from, const Connection::Result& result) {
+    bool old = from == old_;
+    const char* wrong = nullptr;
+    ServerList list;
+    std::string unread;
+    if (result.end != Connection::End::Answered) {
+        wrong = "the call broke";
+    } else if (result.answer->status != 200) {
+        wrong = "the call was turned away";
+    } else {
+        try {
+            std::vector<std::string> pairs = flatten_json(result.answer->body_view());
+            list = read_server_list(pairs_below(pairs, ""), names_);
+        } catch (const std::runtime_error& error) {
+            unread = error.what();
+            wrong = unread.c_str();
+        }
+    }
+    if (old) {  // one that broke is no failure: the call that counts is out
+        drop(old_);
+        if (!wrong) listed_(listing_of(list));
+        return;
+    }
     limit_.cancel();
     if (!result.reusable) connection_.reset();
-    if (result.end != Connection::End::Answered) return failed("the call broke");
-    if (result.answer->status != 200) return failed("the call was turned away");
-    Listing listing;
-    try {
-        listing = decode(flatten_json(result.answer->body_view()));
-    } catch (const std::runtime_error& error) {
-        return failed(error.what());
-    }
+    if (wrong) return failed(wrong);  // the version did not move: it is asked for again
+    drop(old_);
+    revision_ = list.revision;
     has_list_ = true;
     call();  // at once: the watch goes on
-    listed_(listing);
+    listed_(listing_of(list));
 }
 
 void Watcher::failed(const char* why) {
     log_line("discovery: %s", why);
     limit_.cancel();
-    if (connection_) connection_->close();
-    connection_.reset();
+    drop(connection_);
+    drop(old_);
     calling_ = false;
     Listing listing;
     listing.update.kind = ListKind::Failed;
     listed_(listing);
 }
 
-Listing Watcher::decode(const std::vector<std::string>& pairs) {
-    PairReader in(pairs_below(pairs, ""));
+Listing Watcher::listing_of(const ServerList& list) {
     Listing listing;
-    auto revision = in.whole<std::uint64_t>("revision");
-    listing.update.kind = in.flag_or("complete", false) ? ListKind::Full : ListKind::Delta;
-    auto count = in.whole<std::size_t>("members.count");
-    for (std::size_t i = 0; i < count; ++i) {
-        std::string at = "members." + std::to_string(i) + ".";
-        std::string id(in.text(at + "id"));
-        ListEntry entry =
-            make_entry(names_, in.find(at + "locality").value_or(""), in.find(at + "flavor").value_or(""));
-        entry.cell = in.find(at + "cell") ? in.whole<int>(at + "cell") : kNone;
-        entry.phase = in.word<Phase>(
-            at + "phase",
-            {{"in_service", Phase::Ready}, {"terminating", Phase::Draining}, {"terminated", Phase::Gone}});
-        entry.size = in.real_or(at + "size", 1);
-        set_last_start(entry, in.real_or(at + "up_since_ms", 0));
-        entry.server = ids_.try_emplace(std::move(id), ServerId(ids_.size() + 1)).first->second;
-        listing.update.entries.push_back(entry);
-        listing.addresses.emplace_back(in.find(at + "host_port").value_or(""));
+    listing.update.kind = list.complete ? ListKind::Full : ListKind::Delta;
+    for (const ServerList::Member& member : list.members) {
+        ListEntry& entry = listing.update.entries.emplace_back(member.entry);
+        entry.server = ids_.try_emplace(member.id, ServerId(ids_.size() + 1)).first->second;
+        listing.addresses.push_back(member.address);
     }
-    revision_ = revision;  // only once all of it was read: else it is asked for again
     return listing;
 }
 
--- a/src/discovery/watcher.h
+++ b/src/discovery/watcher.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <unordered_map>
 
-#include "config/decode.h"
+#include "config/server_list.h"
 #include "engine/types.h"
 #include "http/connection.h"
 
@@ -21,22 +21,26 @@
     Watcher(boost::asio::io_context& io, BufferPool& pool, Names names,
             const boost::asio::ip::tcp::endpoint& discovery, Listed listed);
 
-    /// Takes the list that the node was started with. Throws std::runtime_error naming what is wrong in it.
-    void cached(const std::vector<std::string>& pairs);
+    /// Takes the list that the node was started with.
+    void cached(const ServerList& known);
     void watch() override;
+    /// Watches at another address from now on. What is out at the old one still counts until the new one has
+    /// answered: no change is missed between them.
+    void move_to(const boost::asio::ip::tcp::endpoint& discovery);
 
 private:
     void call();
-    void answered(const http::Connection::Result& result);
+    void answered(const std::shared_ptr<http::Connection>& from, const http::Connection::Result& result);
     void failed(const char* why);
-    Listing decode(const std::vector<std::string>& pairs);
+    void drop(std::shared_ptr<http::Connection>& connection);
+    Listing listing_of(const ServerList& list);
 
     boost::asio::io_context& io_;
     BufferPool& pool_;
     Names names_;
     boost::asio::ip::tcp::endpoint discovery_;
     Listed listed_;
-    std::shared_ptr<http::Connection> connection_;
+    std::shared_ptr<http::Connection> connection_, old_;  // old_: a call at the address before this one
     boost::asio::steady_timer limit_;
     std::unordered_map<std::string, ServerId> ids_;  // never forgotten: an id means the same server for good
     std::uint64_t revision_ = 0;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdio>
 #include <exception>
+#include <functional>
 
 #include "config/node_config.h"
 #include "discovery/watcher.h"
@@ -34,6 +35,24 @@
     http::Front front(io, pool, engine, config.settings, config.names, config.listen, budget);
     watcher.cached(config.known);
 
+    // SIGHUP: the file is read and checked whole before any of it counts. Of what it says only the address of
+    // discovery can change under way.
+    asio::signal_set hup(io, SIGHUP);
+    std::function<void()> reload_on_hup = [&] {
+        hup.async_wait([&](boost::system::error_code error, int) {
+            if (error) return;
+            try {
+                NodeConfig fresh = read_node_config(Occasion::Reload);
+                watcher.move_to(fresh.discovery);
+                log_line("configuration read again");
+            } catch (const std::exception& bad) {
+                log_line("configuration kept: %s", bad.what());
+            }
+            reload_on_hup();
+        });
+    };
+    reload_on_hup();
+
     asio::signal_set stop(io, SIGTERM, SIGINT);
     asio::steady_timer look(io);
     std::chrono::steady_clock::time_point stopped_at;
@@ -58,7 +77,7 @@
 
 int main() {
     try {
-        serve(read_node_config());
+        serve(read_node_config(Occasion::Start));
         return 0;
     } catch (const ConfigError& error) {
         std::fprintf(stderr, "%s\n", error.what());
--- a/tests/play.cpp
+++ b/tests/play.cpp
@@ -4,7 +4,7 @@
 //   line connect C              a client's connection          accept S L  one that the program made to
 //   listener L C> TEXT   C< TEXT      bytes sent, bytes that must come ('*': anything but a line's end;
 //   {N*TEXT}: TEXT N times) list C JSON            an answer 200 with this body eof C   close C   reset C signal
-//   TERM     in TEXT / out TEXT: standard streams
+//   TERM     in TEXT / out TEXT: standard streams     reload: writes config.json anew and sends SIGHUP
 // Listeners are a, b and d (discovery). $a, $b, $d and $n stand for their addresses and the program's own.
 // Waits are for events alone; the one time limit there is ends a play that hangs.
 #include <arpa/inet.h>
@@ -85,10 +85,14 @@
     return fd;
 }
 
-void start(const std::string& program) {
+void write_config() {
     std::string path = directory + "/config";
     std::ofstream(path) << expand(config);
     setenv("GW_CONFIG", path.c_str(), 1);
+}
+
+void start(const std::string& program) {
+    write_config();
     int in[2], out[2], err[2];
     assert(pipe2(in, O_CLOEXEC) == 0 && pipe2(out, O_CLOEXEC) == 0 && pipe2(err, O_CLOEXEC) == 0);
     child = fork();
@@ -176,6 +180,9 @@
             expect(errors, text + "\n");
         } else if (word == "signal") {
             kill(child, name == "TERM" ? SIGTERM : SIGKILL);
+        } else if (word == "reload") {
+            write_config();
+            kill(child, SIGHUP);
         } else if (word == "exit") {
             int status = 0;
             waitpid(child, &status, 0);
