Bound every client connection in time and let those that never asked make way first

Seen in the source: a silent connection could stand for ever, a half-read request 10 s, counted from its state, and the linger after a refusal read in a loop until nothing was left, which one fast sender never allows (client_session.cpp: check_time, linger). Under pressure the connection idle for longest went, with a peek at every session at each accept (front.cpp: close_an_idle_one).

Now: idle 2 s; a request 2.5 s from connecting, later ones from their first byte; four reads or one drop a turn. Sessions stand in five lists by what they would lose; Leaving, Silent and Starting make way before Idle, those younger than 100 ms after it. At most 8 peeks a list and accept.

--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -10,12 +10,14 @@
 
 namespace asio = boost::asio;
 using boost::system::error_code;
-using Steady = std::chrono::steady_clock;
 
 namespace {
 
-constexpr std::chrono::seconds kStalledMost{10};  // a request half read or an answer half written
+constexpr std::chrono::milliseconds kIdleMost{2000};     // without a request
+constexpr std::chrono::milliseconds kRequestMost{2500};  // from connecting, or a later request's first byte
+constexpr std::chrono::seconds kWriteMost{10};           // an answer to a client that does not read
 constexpr std::chrono::seconds kLingerMost{1};
+constexpr int kReadsAtOnce = 4;  // then others have their turn: one that never stops must not hold the loop
 
 }  // namespace
 
@@ -37,6 +39,11 @@
     since_ = Steady::now();
 }
 
+void ClientSession::stand(Front::Standing standing) {
+    front_.stands(place_, standing_, standing);
+    standing_ = standing;
+}
+
 void ClientSession::wait_to_read() {
     socket_.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
         if (self->state_ != State::Reading) return;
@@ -45,7 +52,7 @@
 }
 
 void ClientSession::read() {
-    while (true) {
+    for (int reads = 0; reads < kReadsAtOnce; ++reads) {
         if (!unread_) unread_ = front_.pool().take();
         error_code error;
         std::size_t got = socket_.read_some(asio::buffer(unread_.free_space(), unread_.room()), error);
@@ -53,8 +60,10 @@
         if (error) return close();
         if (!begun_) {
             begun_ = true;
-            since_ = Steady::now();
-            front_.busy(place_);
+            // Only the first byte sets the time, and of the first request not even that: whoever sends byte by
+            // byte, or says nothing for long, must not hold a connection for as long as it likes.
+            if (!first_) since_ = Steady::now();
+            stand(first_ ? Front::Starting : Front::Busy);
         }
         unread_.grow(got);
         if (parse()) return;
@@ -95,6 +104,8 @@
 }
 
 void ClientSession::dispatch() {
+    first_ = false;
+    stand(Front::Busy);
     close_after_ = !parser_->keep_alive() || overloaded_;
     std::shared_ptr<HttpMessage> request = parser_->take();
     if (unread_.view().empty()) unread_.release();
@@ -180,7 +191,7 @@
     begun_ = told_to_continue_ = false;
     enter(State::Reading);
     if (!unread_) {
-        front_.idle(place_);
+        stand(Front::Idle);
         return wait_to_read();
     }
     // The next request came along with the last. Read later: a buffer full of small ones, each answered from
@@ -195,6 +206,7 @@
 void ClientSession::linger() {
     if (state_ != State::Lingering) {
         enter(State::Lingering);
+        stand(Front::Leaving);
         unread_.release();
         parser_.reset();
         error_code ignored;
@@ -202,19 +214,23 @@
     }
     socket_.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
         if (self->state_ != State::Lingering) return;
-        std::array<char, 4096> dropped;
-        while (!error) self->socket_.read_some(asio::buffer(dropped), error);
-        error == asio::error::would_block ? self->linger() : self->close();
+        static std::array<char, BufferPool::kSize> dropped;
+        // Once a turn, not till nothing is left: a client that never stops would hold the loop.
+        if (!error) self->socket_.read_some(asio::buffer(dropped), error);
+        !error || error == asio::error::would_block ? self->linger() : self->close();
     });
 }
 
-bool ClientSession::idle() {
-    if (state_ == State::Lingering) return true;
-    if (state_ != State::Reading || begun_) return false;
+bool ClientSession::unread_in_socket() {
     char byte = 0;
     error_code error;
     socket_.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
-    return bool(error);
+    return !error;
+}
+
+bool ClientSession::spare() {
+    if (state_ == State::Lingering) return true;
+    return state_ == State::Reading && ((begun_ && first_) || (!begun_ && !unread_in_socket()));
 }
 
 void ClientSession::close() {
@@ -227,18 +243,24 @@
     parser_.reset();
     outgoing_.clear();
     if (owed) front_.engine().depart(request_);
-    front_.closed(place_);
+    front_.closed(place_, standing_);
 }
 
-void ClientSession::check_time() {
-    auto stood = Steady::now() - since_;
-    if (state_ == State::Lingering && stood > kLingerMost) return close();
-    if (stood <= kStalledMost) return;
-    if (state_ == State::Writing) return close();
-    if (state_ == State::Reading && begun_) {
-        close_after_ = true;
-        reject(408);
-    }
+bool ClientSession::late() const {
+    auto most = [this]() -> Steady::duration {
+        if (state_ == State::Lingering) return kLingerMost;
+        if (state_ == State::Writing) return kWriteMost;
+        return begun_ ? kRequestMost : kIdleMost;
+    };
+    return (state_ == State::Reading || state_ == State::Lingering || state_ == State::Writing) &&
+           stood() > most();
+}
+
+void ClientSession::time_out() {
+    if (!late() || (state_ == State::Reading && !begun_ && unread_in_socket())) return;
+    if (state_ != State::Reading || !begun_) return close();
+    close_after_ = true;
+    reject(408);
 }
 
 }  // namespace ochrehub::http
--- a/src/http/client_session.h
+++ b/src/http/client_session.h
@@ -15,23 +15,29 @@
 
 class ClientSession : public Caller, public std::enable_shared_from_this<ClientSession> {
 public:
+    using Steady = std::chrono::steady_clock;
+
     /// `overloaded`: there is no room for this connection; its one request is told so.
     ClientSession(boost::asio::ip::tcp::socket socket, Front& front, bool overloaded);
 
     void start(Front::Place place);
     void answer(Reply reply) override;
 
-    /// Between requests, with nothing unread, or only waiting for the client's close.
-    bool idle();
-    bool closed() const { return state_ == State::Closed; }
+    /// Nothing is lost if it is closed now: between requests with nothing unread, a request not yet whole, or
+    /// only waiting for the client's close.
+    bool spare();
     void close();
-    /// Ends what has stood still for too long.
-    void check_time();
+    Steady::duration stood() const { return Steady::now() - since_; }
+    /// It has stood for longer than it may.
+    bool late() const;
+    void time_out();
 
 private:
     enum class State { Reading, Waiting, Writing, Lingering, Closed };
 
     void enter(State state);
+    void stand(Front::Standing standing);
+    bool unread_in_socket();
     void wait_to_read();
     void read();
     bool parse();
@@ -46,12 +52,14 @@
     boost::asio::ip::tcp::socket socket_;
     Front& front_;
     Front::Place place_{};
+    Front::Standing standing_ = Front::Silent;
     bool overloaded_;
     State state_ = State::Reading;
-    std::chrono::steady_clock::time_point since_{};
+    Steady::time_point since_ = Steady::now();
     std::optional<MessageParser<true>> parser_;
     Buffer unread_;
     bool begun_ = false;  // some of a request has come
+    bool first_ = true;   // ... and it is this connection's first
     bool told_to_continue_ = false;
     bool close_after_ = false;
     RequestId request_ = 0;
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 #include "http/client_session.h"
@@ -16,7 +17,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds kAcceptAgain{20};  // after a failed accept
-constexpr std::chrono::seconds kSweep{1};
+constexpr std::chrono::milliseconds kSweep{100};
+constexpr std::chrono::milliseconds kFresh{100};  // a connection's request may still be on its way
+constexpr int kLooks = 8;
 constexpr double kPatienceMost = 3600;  // seconds
 
 std::string_view first_part(std::string_view target) {
@@ -51,8 +54,8 @@
 
 void Front::accept() {
     if (accepting_) return;
-    bool full = sessions_.size() >= budget_.clients + budget_.clients_over;
-    if (full && !close_an_idle_one()) return;  // until one closes
+    bool full = held() >= budget_.clients + budget_.clients_over;
+    if (full && !make_room()) return;  // until one closes
     accepting_ = true;
     acceptor_.async_accept([this](error_code error, asio::ip::tcp::socket socket) {
         accepting_ = false;
@@ -62,7 +65,7 @@
         }
         // Out of descriptors, say. The connection still waits in the kernel and may hold a request.
         log_line("accept: %s", error.message().c_str());
-        close_an_idle_one();
+        make_room();
         retry_.expires_after(kAcceptAgain);
         retry_.async_wait([this](error_code stopped) {
             if (!stopped) accept();
@@ -71,34 +74,49 @@
 }
 
 void Front::take(asio::ip::tcp::socket socket) {
-    bool full = sessions_.size() >= budget_.clients && !close_an_idle_one();
+    bool full = held() >= budget_.clients && !make_room();
     auto session = std::make_shared<ClientSession>(std::move(socket), *this, full);
-    sessions_.push_front(session);
-    session->start(sessions_.begin());
+    sessions_[Silent].push_back(session);
+    session->start(std::prev(sessions_[Silent].end()));
 }
 
-// The idle ones stand at the front, the one idle for longest nearest to the busy ones.
-bool Front::close_an_idle_one() {
-    for (auto it = sessions_.rbegin(); it != sessions_.rend(); ++it) {
-        if (!(*it)->idle()) continue;
-        std::shared_ptr<ClientSession> found = *it;
-        found->close();
-        return true;
+std::size_t Front::held() const {
+    std::size_t sum = 0;
+    for (const Sessions& some : sessions_) sum += some.size();
+    return sum;
+}
+
+// A crowd that says nothing must not push out a connection that has only just come, its request on its way:
+// before that one an idle connection goes, whose client opens another when it needs it.
+bool Front::make_room() {
+    constexpr std::pair<Standing, bool> kOrder[]{{Leaving, true}, {Silent, false}, {Starting, false},
+                                                 {Idle, true},    {Silent, true},  {Starting, true}};
+    for (auto [standing, even_fresh] : kOrder) {
+        int looks = kLooks;  // each costs a call: a crowd is not searched from end to end at every accept
+        for (const auto& session : sessions_[standing]) {
+            if (!even_fresh && session->stood() < kFresh) break;  // those behind are fresher still
+            if (session->spare()) {
+                std::shared_ptr<ClientSession>(session)->close();
+                return true;
+            }
+            if (--looks == 0) break;
+        }
     }
     return false;
 }
 
-void Front::closed(Place place) {
-    // Later: the session may be running just now.
-    asio::post(io_, [this, place] {
-        sessions_.erase(place);
-        accept();
-    });
+void Front::closed(Place place, Standing standing) {
+    // The session may be running just now: it goes later, its descriptor is free already.
+    asio::post(io_, [this, gone = std::move(*place)] { accept(); });
+    sessions_[standing].erase(place);
 }
 
 void Front::sweep() {
-    std::vector<std::shared_ptr<ClientSession>> all(sessions_.begin(), sessions_.end());
-    for (const auto& session : all) session->check_time();
+    std::vector<std::shared_ptr<ClientSession>> late;
+    for (const Sessions& some : sessions_)
+        std::copy_if(some.begin(), some.end(), std::back_inserter(late),
+                     [](const auto& session) { return session->late(); });
+    for (const auto& session : late) session->time_out();
     sweep_.expires_after(kSweep);
     sweep_.async_wait([this](error_code stopped) {
         if (!stopped) sweep();
@@ -106,8 +124,10 @@
 }
 
 bool Front::quiet() {
-    return std::all_of(sessions_.begin(), sessions_.end(),
-                       [](const auto& s) { return s->closed() || s->idle(); });
+    auto spare = [](const auto& session) { return session->spare(); };
+    return sessions_[Starting].empty() && sessions_[Busy].empty() &&
+           std::all_of(sessions_[Silent].begin(), sessions_[Silent].end(), spare) &&
+           std::all_of(sessions_[Idle].begin(), sessions_[Idle].end(), spare);
 }
 
 Front::Reading Front::read_call(const HttpMessage& request) const {
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -2,6 +2,7 @@
 // mean.
 #pragma once
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -41,16 +42,21 @@
     };
     Reading read_call(const HttpMessage& request) const;
 
-    // For the sessions.
-    using Place = std::list<std::shared_ptr<ClientSession>>::iterator;
-    void idle(Place place) { sessions_.splice(sessions_.begin(), sessions_, place); }  // front: idle last
-    void busy(Place place) { sessions_.splice(sessions_.end(), sessions_, place); }
-    void closed(Place place);
+    // For the sessions. Where descriptors run short, what stands first here makes way first, and among equals
+    // what has stood for longest: those that never sent a request go before a good client's idle connection.
+    enum Standing : std::size_t { Leaving, Silent, Starting, Idle, Busy, kStandings };
+    using Sessions = std::list<std::shared_ptr<ClientSession>>;
+    using Place = Sessions::iterator;
+    void stands(Place place, Standing from, Standing to) {
+        sessions_[to].splice(sessions_[to].end(), sessions_[from], place);
+    }
+    void closed(Place place, Standing standing);
 
 private:
     void accept();
     void take(boost::asio::ip::tcp::socket socket);
-    bool close_an_idle_one();
+    std::size_t held() const;
+    bool make_room();
     void sweep();
 
     boost::asio::io_context& io_;
@@ -61,7 +67,7 @@
     DescriptorBudget budget_;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer retry_, sweep_;
-    std::list<std::shared_ptr<ClientSession>> sessions_;
+    std::array<Sessions, kStandings> sessions_;
     bool accepting_ = false;
     bool draining_ = false;
 };
