Keep more than one request a gateway at a server where two gateways share it

A trace of the module (one line a second) showed every server's answers slowing at once (fleet pace 1.2 to 3), every limit at 1 within a second, and there it stayed: 109 answers a second a node with 9 to 10 requests out, 70 requests waiting. p50 of the attempts did not fall with the lower limit, so the servers stood partly idle: much of a request is waiting on others. Line at fault: limit_min() in src/rules.cpp capped kLimitLeast / sharers at 1, so two gateways held 2 requests at a server together where three held 3.

The lower bound is now kLimitLeast over all gateways where there are fewer than three; with three or more nothing changes.

Test: Queue.ASlowSpellLeavesTwoGatewaysMoreThanOneRequestAServer (3 sends before, 6 after).

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -287,7 +287,11 @@
         return std::max(1.0, set_.balancers * double(width_) / std::max(1.0, double(order_.size())));
     }
 
-    double limit_min() const { return std::min(1.0, kLimitLeast / sharers()); }
+    // Two gateways hold no less at a server together than three do: part of each request's time is spent
+    // waiting elsewhere, so one or two of them leave a server idle, and where all slow down it stays so.
+    double limit_min() const {
+        return std::min(std::max(1.0, kLimitLeast / set_.balancers), kLimitLeast / sharers());
+    }
 
     bool zoned() const { return set_.price_cross_zone > kSubsetWorth; }
 
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -322,6 +322,22 @@
     EXPECT_GE(served, 90);  // of the last hundred
 }
 
+// A single request of each of two gateways leaves a server idle while it waits elsewhere.
+TEST(Queue, ASlowSpellLeavesTwoGatewaysMoreThanOneRequestAServer) {
+    Settings set = unprobed();
+    set.balancers = 2;
+    set.classes[0].late_worth = 0.5;
+    Gateway g(set);
+    g.list(0, {entry(1), entry(2), entry(3)});
+    for (RequestId id = 1; id <= 100; ++id) {
+        double t = 200.0 * double(id), took = id < 88 ? 20 : 199;
+        if (auto to = sent_to(g.arrive(t, id))) g.ok(t + took, id, *to, took);
+    }
+    int sent = 0;
+    for (RequestId id = 101; id <= 110; ++id) sent += sent_to(g.arrive(20'300, id)).has_value();
+    EXPECT_EQ(sent, 6);
+}
+
 TEST(ColdStart, SendsInAnySpanStayInsideThisGatewaysShare) {
     Settings set = unprobed();
     set.balancers = 3;
