Turn away doubtful framing and requests without an id of their own

Tried against Beast: it takes a length twice or as a list, takes `Transfer-Encoding: gzip` beside a length, takes `gzip, chunked`, a body on GET and HTTP/3.7 (message.h: the parser's hooks checked none of it), and the node passed on requests without X-Trace-Id or with one that is open.

Now the head must leave no doubt where its message ends, in requests and answers alike; a request needs one X-Trace-Id (400), not one that is open here (409), and no header of ours twice (400). A client that sends on behind its request is read on, so that its close shows (client_session.cpp: watch_client left it unwatched).

Ruled out: that servers were blamed for it; none turned Unhealthy before or after.

--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -120,22 +120,31 @@
         std::string allow = request->method == "GET" ? "Allow: POST\r\n" : "Allow: GET\r\n";
         return reject(reading.status, reading.status == 405 ? allow : "");
     }
+    trace_ = request->header("X-Trace-Id");
+    if (!front_.claim(trace_)) {
+        close_after_ = true;
+        return reject(409);
+    }
     reading.call.message = std::move(request);
     enter(State::Waiting);
     request_ = front_.engine().submit(std::move(reading.call), shared_from_this());
     watch_client();
 }
 
-// A client that closes its connection has gone away. One that sends on is left unwatched till it is answered.
+// A client that closes its connection has gone away. What it sends on before that is kept, so that its close
+// shows behind it; one that fills the buffer is read no further and unwatched till it is answered.
 void ClientSession::watch_client() {
     socket_.async_wait(
         asio::ip::tcp::socket::wait_read, [self = shared_from_this(), watch = ++watch_](error_code error) {
             if (self->state_ != State::Waiting || watch != self->watch_) return;
-            char byte = 0;
-            if (!error) self->socket_.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
-            if (!error) return;
-            if (error == asio::error::would_block) return self->watch_client();
-            self->close();
+            Buffer& unread = self->unread_;
+            if (!unread) unread = self->front_.pool().take();
+            if (unread.room() == 0) return;
+            if (!error)
+                unread.grow(self->socket_.read_some(asio::buffer(unread.free_space(), unread.room()), error));
+            if (error && error != asio::error::would_block) return self->close();
+            if (unread.view().empty()) unread.release();
+            self->watch_client();
         });
 }
 
@@ -143,6 +152,7 @@
     if (state_ != State::Waiting) return;
     error_code ignored;
     socket_.cancel(ignored);  // the watch
+    front_.release(trace_);
     if (reply.verdict == Verdict::Refused) {
         std::string extra;
         if (reply.retry_after.count() > 0) {
@@ -242,7 +252,10 @@
     unread_.release();
     parser_.reset();
     outgoing_.clear();
-    if (owed) front_.engine().depart(request_);
+    if (owed) {
+        front_.release(trace_);
+        front_.engine().depart(request_);
+    }
     front_.closed(place_, standing_);
 }
 
--- a/src/http/client_session.h
+++ b/src/http/client_session.h
@@ -63,6 +63,7 @@
     bool told_to_continue_ = false;
     bool close_after_ = false;
     RequestId request_ = 0;
+    std::string trace_;  // its id, held while it is open
     Outgoing outgoing_;
     std::uint64_t watch_ = 0;  // a wait of an earlier watch does nothing
 };
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -137,6 +137,10 @@
     if (call.class_index == kNone) return {404, {}};
     const ClassSettings& c = classes_[std::size_t(call.class_index)];
     if (request.method != (c.effect == Effect::Free ? "GET" : "POST")) return {405, {}};
+    // What is passed on must say who asks and until when, each once: a server may read the other one.
+    for (const char* name : {"X-Trace-Id", "X-Customer", "X-Expires-In", "Idempotency-Key", "X-Object"})
+        if (request.count(name) > 1) return {400, {}};
+    if (request.header("X-Trace-Id").empty()) return {400, {}};
     if (c.effect == Effect::Guarded && request.header("Idempotency-Key").empty()) return {400, {}};
     call.tenant = index_of(names_.tenants, request.header("X-Customer"));
     call.client_repeat = request.header("X-Second-Try") == "1";
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -8,6 +8,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <list>
 #include <memory>
+#include <string>
+#include <unordered_set>
 
 #include "config/decode.h"
 #include "engine/engine.h"
@@ -42,6 +44,10 @@
     };
     Reading read_call(const HttpMessage& request) const;
 
+    /// The ids of the requests that are open here: another with the same would be taken for a second copy.
+    bool claim(const std::string& id) { return open_ids_.insert(id).second; }
+    void release(const std::string& id) { open_ids_.erase(id); }
+
     // For the sessions. Where descriptors run short, what stands first here makes way first, and among equals
     // what has stood for longest: those that never sent a request go before a good client's idle connection.
     enum Standing : std::size_t { Leaving, Silent, Starting, Idle, Busy, kStandings };
@@ -68,6 +74,7 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer retry_, sweep_;
     std::array<Sessions, kStandings> sessions_;
+    std::unordered_set<std::string> open_ids_;
     bool accepting_ = false;
     bool draining_ = false;
 };
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -15,6 +15,14 @@
     return std::any_of(kNames.begin(), kNames.end(), [&](std::string_view n) { return same_name(n, name); });
 }
 
+bool plain_framing(const HttpMessage& message) {
+    std::string_view length = message.header("Content-Length"), coding = message.header("Transfer-Encoding");
+    std::size_t lengths = message.count("Content-Length"), codings = message.count("Transfer-Encoding");
+    if (lengths + codings > 1) return false;
+    if (codings == 1 && !same_name(coding, "chunked")) return false;
+    return lengths == 0 || length.find_first_not_of("0123456789") == std::string_view::npos;
+}
+
 void put_header(std::string& head, std::string_view name, std::string_view value) {
     head.append(name).append(": ").append(value).append("\r\n");
 }
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -1,6 +1,7 @@
 // HTTP/1.1 messages: what one holds, Beast's parser filling it, and the head written back out.
 #pragma once
 
+#include <algorithm>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <cstdint>
@@ -38,9 +39,17 @@
             if (same_name(key, name)) return value;
         return {};
     }
+    std::size_t count(std::string_view name) const {
+        return std::size_t(std::count_if(headers.begin(), headers.end(),
+                                         [&](const auto& header) { return same_name(header.first, name); }));
+    }
     std::string_view body_view() const { return body ? body.view() : std::string_view{}; }
 };
 
+/// True where the head leaves no doubt where the message ends. Beast's parser takes a repeated or listed length,
+/// and codings other than `chunked`, which others read differently: one message could hide another.
+bool plain_framing(const HttpMessage& message);
+
 /// Fills an HttpMessage from bytes as they come.
 template <bool kRequest>
 class MessageParser : public boost::beast::http::basic_parser<kRequest> {
@@ -57,15 +66,27 @@
     using Error = boost::system::error_code;
     using Text = boost::beast::string_view;
 
-    void on_request_impl(boost::beast::http::verb, Text method, Text target, int, Error&) override {
+    void on_request_impl(boost::beast::http::verb, Text method, Text target, int version,
+                         Error& error) override {
+        check(version, error);
         message_->method = view(method);
         message_->target = view(target);
     }
-    void on_response_impl(int status, Text, int, Error&) override { message_->status = status; }
+    void on_response_impl(int status, Text, int version, Error& error) override {
+        check(version, error);
+        message_->status = status;
+    }
+    static void check(int version, Error& error) {
+        if (version != 10 && version != 11) error = boost::beast::http::error::bad_version;
+    }
     void on_field_impl(boost::beast::http::field, Text name, Text value, Error&) override {
         message_->headers.emplace_back(view(name), view(value));
     }
-    void on_header_impl(Error&) override {}
+    void on_header_impl(Error& error) override {
+        bool bodied = this->chunked() || this->content_length().value_or(0) > 0;
+        if (!plain_framing(*message_) || (kRequest && message_->method == "GET" && bodied))
+            error = boost::beast::http::error::bad_content_length;
+    }
     void on_body_init_impl(const boost::optional<std::uint64_t>&, Error&) override {}
     std::size_t on_body_impl(Text body, Error& error) override {
         if (!message_->body) message_->body = pool_.take();
