Serve only answers that say where they end and come whole

Read in the source (src/http/connection.cpp, read): a 200 without a length was served as whole at the close, 101 and any number of 1xx were read over, an answer that stops short of its length was waited for till the request's limit, and a server that never stops sending held the loop.

Now a 200 must have a length or chunks; 101 and more than 16 interim answers are no answer; 300 ms after its first byte an answer must be whole; one buffer is read a turn. Of idle connections those at rest for 1 ms go first: a second copy that comes late would be taken for the next answer. A good answer with more behind it is served as before.

Tried and undone: never using a connection before that rest. It opens connections that are not needed.

--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -10,8 +10,17 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
+namespace {
+
+// From an answer's first byte to its last. Guards against one that stops short of its length, or never ends: its
+// request could still be sent elsewhere in time. Longer than servers are known to stand still.
+constexpr std::chrono::milliseconds kAnswerMost{300};
+constexpr int kInterimMost = 16;
+
+}  // namespace
+
 Connection::Connection(asio::io_context& io, BufferPool& pool, const Endpoint& to, Duration connect_timeout)
-    : io_(io), pool_(pool), socket_(io), connect_timer_(io), to_(to), connect_timeout_(connect_timeout) {}
+    : io_(io), pool_(pool), socket_(io), timer_(io), to_(to), connect_timeout_(connect_timeout) {}
 
 void Connection::exchange(std::string head, std::shared_ptr<const HttpMessage> request, Done done,
                           std::function<bool()> may_send) {
@@ -22,6 +31,7 @@
     may_send_ = std::move(may_send);
     written_ = false;
     parser_.emplace(pool_);
+    interims_ = 0;
     starting_ = true;
     if (socket_.is_open()) {
         error_code ignored;
@@ -39,13 +49,13 @@
     if (!error) socket_.non_blocking(true, error);
     if (!error) socket_.set_option(asio::ip::tcp::no_delay(true), error);
     if (error) return finish(End::NotSent);  // no descriptor, say
-    connect_timer_.expires_after(std::chrono::duration_cast<Steady::duration>(connect_timeout_));
-    connect_timer_.async_wait([self = shared_from_this(), turn = turn_](error_code stopped) {
+    timer_.expires_after(std::chrono::duration_cast<Steady::duration>(connect_timeout_));
+    timer_.async_wait([self = shared_from_this(), turn = turn_](error_code stopped) {
         if (!stopped && turn == self->turn_) self->finish(End::NotSent);
     });
     socket_.async_connect(to_, [self = shared_from_this(), turn = turn_](error_code failed) {
         if (turn != self->turn_) return;
-        self->connect_timer_.cancel();
+        self->timer_.cancel();
         if (failed) return self->finish(End::NotSent);
         self->begin();
     });
@@ -80,19 +90,17 @@
 
 void Connection::read() {
     if (!unread_) unread_ = pool_.take();
-    while (true) {
+    // One buffer a turn: a server that never stops must not hold the loop.
+    for (std::size_t read = 0; read < BufferPool::kSize;) {
         error_code error;
         std::size_t got = 0;
         if (unread_.room() == 0) return finish(End::Garbage);
         got = socket_.read_some(asio::buffer(unread_.free_space(), unread_.room()), error);
         if (error == asio::error::would_block) break;
-        if (error == asio::error::eof) {
-            error_code bad;
-            if (parser_->got_some()) parser_->put_eof(bad);
-            return finish(parser_->is_done() && !bad ? End::Answered : End::Broken);
-        }
         if (error) return finish(End::Broken);
+        read += got;
         unread_.grow(got);
+        if (!parser_->got_some()) limit_answer();
         while (true) {
             error_code bad;
             std::string_view bytes = unread_.view();
@@ -100,6 +108,10 @@
             unread_.drop_front(used);
             if (bad == boost::beast::http::error::need_more) break;
             if (bad) return finish(End::Garbage);
+            // An answer that ends where the connection does cannot be told from one that broke off. What is no
+            // 200 says all in its head.
+            if (parser_->is_header_done() && parser_->need_eof())
+                return finish(parser_->message().status == 200 ? End::Garbage : End::Answered);
             if (!parser_->is_done()) {
                 if (unread_.view().empty()) break;
                 if (used == 0) break;
@@ -107,7 +119,11 @@
             }
             int status = parser_->message().status;
             if (status >= 100 && status < 200) {  // an interim answer: the real one follows
+                // Nobody asked for another protocol, nor for interim answers without end.
+                if (status == 101 || ++interims_ > kInterimMost) return finish(End::Garbage);
+                timer_.cancel();
                 parser_.emplace(pool_);
+                if (!unread_.view().empty()) limit_answer();
                 if (unread_.view().empty()) break;
                 continue;
             }
@@ -118,10 +134,17 @@
     wait_for_answer();
 }
 
+void Connection::limit_answer() {
+    timer_.expires_after(kAnswerMost);
+    timer_.async_wait([self = shared_from_this(), turn = turn_](error_code stopped) {
+        if (!stopped && turn == self->turn_) self->finish(End::Garbage);
+    });
+}
+
 void Connection::finish(End end, bool reusable) {
     ++turn_;
     unread_.release();
-    connect_timer_.cancel();
+    timer_.cancel();
     if (!reusable) {
         error_code ignored;
         socket_.close(ignored);
@@ -150,7 +173,7 @@
 bool Connection::close() {
     ++turn_;
     error_code ignored;
-    connect_timer_.cancel();
+    timer_.cancel();
     socket_.close(ignored);
     done_ = nullptr;
     may_send_ = nullptr;
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -54,13 +54,14 @@
     void write();
     void wait_for_answer();
     void read();
+    void limit_answer();
     void finish(End end, bool reusable = false);
     void tell(Result result);
 
     boost::asio::io_context& io_;
     BufferPool& pool_;
     boost::asio::ip::tcp::socket socket_;
-    boost::asio::steady_timer connect_timer_;
+    boost::asio::steady_timer timer_;  // of the connecting, then of the answer
     Endpoint to_;
     Duration connect_timeout_;
     Outgoing outgoing_;
@@ -71,6 +72,7 @@
     Buffer unread_;
     std::function<void()> lost_;
     bool starting_ = false;
+    int interims_ = 0;
     std::uint64_t turn_ = 0;  // of exchanges and rests: a handler of an earlier one does nothing
     Steady::time_point rested_at_{};
 };
--- a/src/http/server_pool.cpp
+++ b/src/http/server_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <iterator>
 #include <utility>
 
 #include "config/decode.h"
@@ -16,6 +17,9 @@
 
 constexpr double kIdlePart = 0.85;  // of the time after which servers close an idle connection
 constexpr std::chrono::milliseconds kSweep{250};
+// A second copy right behind an answer would be taken for the next one's: where there is another, a connection
+// rests for longer than the far side needs for two writes.
+constexpr std::chrono::milliseconds kSettle{1};
 
 LoadReport report_of(const HttpMessage& answer) {
     std::string_view text = answer.header("Endpoint-Load-Metrics");
@@ -71,10 +75,14 @@
 }
 
 ServerPool::ConnectionPtr ServerPool::connection_to(Server& server) {
+    auto now = Connection::Steady::now();
+    auto settled = [now](const ConnectionPtr& c) { return now - c->rested_at() >= kSettle; };
     while (!server.idle.empty()) {
-        ConnectionPtr last = std::move(server.idle.back());
-        server.idle.pop_back();
-        bool old = Connection::Steady::now() - last->rested_at() >= idle_most_;
+        auto found = std::find_if(server.idle.rbegin(), server.idle.rend(), settled);
+        if (found == server.idle.rend()) found = server.idle.rbegin();
+        ConnectionPtr last = *found;
+        server.idle.erase(std::prev(found.base()));
+        bool old = now - last->rested_at() >= idle_most_;
         if (!old && !last->seen_closed()) return last;
         last->close();
         --connections_;
