Count resets against a server only where it has more of them than the others

Lines at fault: judge() in src/rules.cpp counted every reset as a failure that shows the server away. Three in a row ejected a sound server; two probes later it was back, but taken for cold (was_down), with 0.3 of its limit, and each reset put its server on trial with one request at a time.

Now a reset is blamed as errors are, relative to the share of all servers, and one on a connection that had stood idle is that connection's fault. A server that is away still shows: connects are refused and probes fail.

Test: Errors.ThatFollowTheRequestsEjectNobodyThoseOfOneServerDo, now with resets: 3 ejected before, none after; those of one server alone still eject it.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -761,8 +761,10 @@
             if (s.health != Health::Unhealthy) note_success(s);
         }
         if (e.outcome == Outcome::ConnectFailed) refused_connection(s);
-        if (e.outcome == Outcome::Reset) note_failure(s, true);
-        if (e.outcome == Outcome::Error) blame(s);
+        // A reset shows a broken connection, not that the server is away: of one that is, the next connects
+        // and probes fail. Guards against resets from all servers alike that eject sound ones and then take
+        // them for cold. One on a connection that stood idle is the connection's fault.
+        if (e.outcome == Outcome::Error || (e.outcome == Outcome::Reset && !a.idled)) blame(s);
         if (e.outcome == Outcome::Timeout && !a.overdue) overdue(s, a);
         if (e.outcome != Outcome::Full) return;
         s.limit = std::max(limit_min(), s.limit * 0.7);
