Forget servers that have gone and take the buffers' shares from the memory limit

Read in the source: Watcher::ids_ and ServerPool::servers_ never shrank and servers_[id] made entries, the module kept every server it ever heard of, and the pool kept 256 free buffers, 16 MB of a limit that may be 32 MB.

Now the connection pool drops what may not be sent to and looks up without making entries; the watcher drops an id that has left the list, and never gives a number twice; the module frees a server's place a minute after it was last listed, once no request or probe refers to it. Free buffers keep a sixteenth of limits.memory_mb; with half of it in use a new request is told 503. Where removal does not bind, ids and servers stay.

--- a/src/config/node_config.cpp
+++ b/src/config/node_config.cpp
@@ -12,7 +12,7 @@
 namespace ochrehub {
 namespace {
 
-constexpr std::size_t kSocketsLeast = 32;
+constexpr std::size_t kSocketsLeast = 32, kMemoryLeast = 8;
 
 std::string environment(const char* name) {
     const char* value = std::getenv(name);
@@ -69,6 +69,8 @@
     try {
         if (file.find("limits.sockets")) config.sockets = file.whole<std::size_t>("limits.sockets");
         if (config.sockets < kSocketsLeast) throw std::runtime_error("setting limits.sockets is too small");
+        if (file.find("limits.memory_mb")) config.memory_mb = file.whole<std::size_t>("limits.memory_mb");
+        if (config.memory_mb < kMemoryLeast) throw std::runtime_error("setting limits.memory_mb is too small");
         config.settings = parse_settings(pairs_below(pairs, "settings."), config.names);
     } catch (const std::runtime_error& error) {
         throw ConfigError(error.what());
--- a/src/config/node_config.h
+++ b/src/config/node_config.h
@@ -23,7 +23,7 @@
     std::string name;
     boost::asio::ip::tcp::endpoint listen, discovery;
     std::uint64_t seed = 0;
-    std::size_t sockets = 1024;
+    std::size_t sockets = 1024, memory_mb = 192;
     Settings settings;
     Names names;
     ServerList known;  ///< the server list of last time; may be empty
--- a/src/discovery/watcher.cpp
+++ b/src/discovery/watcher.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <string_view>
+#include <unordered_set>
 #include <utility>
 
 #include "config/json.h"
@@ -20,14 +22,15 @@
 
 }  // namespace
 
-Watcher::Watcher(asio::io_context& io, BufferPool& pool, Names names,
+Watcher::Watcher(asio::io_context& io, BufferPool& pool, Names names, bool gone_stays,
                  const asio::ip::tcp::endpoint& discovery, Listed listed)
     : io_(io),
       pool_(pool),
       names_(std::move(names)),
       discovery_(discovery),
       listed_(std::move(listed)),
-      limit_(io) {}
+      limit_(io),
+      gone_stays_(gone_stays) {}
 
 void Watcher::cached(const ServerList& known) {
     Listing listing = listing_of(known);
@@ -124,10 +127,25 @@
     listing.update.kind = list.complete ? ListKind::Full : ListKind::Delta;
     for (const ServerList::Member& member : list.members) {
         ListEntry& entry = listing.update.entries.emplace_back(member.entry);
-        entry.server = ids_.try_emplace(member.id, ServerId(ids_.size() + 1)).first->second;
+        auto [known, fresh] = ids_.try_emplace(member.id, next_id_ + 1);
+        if (fresh) ++next_id_;
+        entry.server = known->second;
         listing.addresses.push_back(member.address);
     }
+    if (!gone_stays_) forget_gone(list);
     return listing;
 }
 
+// Servers are replaced by new ones under new ids for as long as the node runs. One that comes back under an id
+// that had gone is another process.
+void Watcher::forget_gone(const ServerList& list) {
+    std::unordered_set<std::string_view> named;
+    for (const ServerList::Member& member : list.members)
+        if (member.entry.phase != Phase::Gone)
+            named.insert(member.id);
+        else
+            ids_.erase(member.id);
+    if (list.complete) std::erase_if(ids_, [&](const auto& id) { return !named.contains(id.first); });
+}
+
 }  // namespace ochrehub::discovery
--- a/src/discovery/watcher.h
+++ b/src/discovery/watcher.h
@@ -18,7 +18,8 @@
 public:
     using Listed = std::function<void(const Listing&)>;
 
-    Watcher(boost::asio::io_context& io, BufferPool& pool, Names names,
+    /// `gone_stays`: a server that the list calls gone may still be used, so its id keeps its meaning.
+    Watcher(boost::asio::io_context& io, BufferPool& pool, Names names, bool gone_stays,
             const boost::asio::ip::tcp::endpoint& discovery, Listed listed);
 
     /// Takes the list that the node was started with.
@@ -34,6 +35,7 @@
     void failed(const char* why);
     void drop(std::shared_ptr<http::Connection>& connection);
     Listing listing_of(const ServerList& list);
+    void forget_gone(const ServerList& list);
 
     boost::asio::io_context& io_;
     BufferPool& pool_;
@@ -42,7 +44,9 @@
     Listed listed_;
     std::shared_ptr<http::Connection> connection_, old_;  // old_: a call at the address before this one
     boost::asio::steady_timer limit_;
-    std::unordered_map<std::string, ServerId> ids_;  // never forgotten: an id means the same server for good
+    std::unordered_map<std::string, ServerId> ids_;  // of the servers listed; a number is never given twice
+    ServerId next_id_ = 0;
+    bool gone_stays_;
     std::uint64_t revision_ = 0;
     bool has_list_ = false;
     bool calling_ = false;
--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -53,6 +53,10 @@
 
 void ClientSession::read() {
     for (int reads = 0; reads < kReadsAtOnce; ++reads) {
+        if (!unread_ && front_.pool().scarce()) {  // many requests half sent must not cost more than there is
+            close_after_ = true;
+            return reject(503, "Retry-After: 1\r\n");
+        }
         if (!unread_) unread_ = front_.pool().take();
         error_code error;
         std::size_t got = socket_.read_some(asio::buffer(unread_.free_space(), unread_.room()), error);
--- a/src/http/server_pool.cpp
+++ b/src/http/server_pool.cpp
@@ -70,11 +70,17 @@
         server.address = address;
         server.sendable = entry.phase == Phase::Ready || (entry.phase == Phase::Gone && !removal_binds_);
     }
-    for (auto& [id, server] : servers_)
-        if (!server.sendable) close_idle(id);
+    // Nothing new goes to the others, and what is out there needs no more than its connection.
+    for (auto it = servers_.begin(); it != servers_.end();) {
+        if (!it->second.sendable) close_idle(it->first);
+        it = it->second.sendable ? std::next(it) : servers_.erase(it);
+    }
 }
 
-ServerPool::ConnectionPtr ServerPool::connection_to(Server& server) {
+ServerPool::ConnectionPtr ServerPool::connection_to(ServerId id) {
+    Server* known = find(id);
+    if (!known) return nullptr;
+    Server& server = *known;
     auto now = Connection::Steady::now();
     auto settled = [now](const ConnectionPtr& c) { return now - c->rested_at() >= kSettle; };
     while (!server.idle.empty()) {
@@ -106,8 +112,7 @@
 }
 
 void ServerPool::start(AttemptId id, ServerId to, std::shared_ptr<const Message> message, Duration patience) {
-    Server& server = servers_[to];
-    ConnectionPtr connection = connection_to(server);
+    ConnectionPtr connection = connection_to(to);
     attempts_[id] = connection;
     if (!connection) return end_later(id, Outcome::ConnectFailed);
     auto request = std::static_pointer_cast<const HttpMessage>(std::move(message));
@@ -118,7 +123,7 @@
             attempt_done(id, to, used, std::move(result));
         },
         // Guards rule 3: a drain may be told while the connection is still coming up.
-        [this, to] { return servers_[to].sendable; });
+        [this, to] { return may_send(to); });
 }
 
 void ServerPool::end_later(AttemptId id, Outcome outcome) {
@@ -139,15 +144,15 @@
 }
 
 void ServerPool::give_back(ServerId id, const ConnectionPtr& connection, const Connection::Result& result) {
-    Server& server = servers_[id];
-    if (!result.reusable || !server.sendable) {
+    if (!result.reusable || !may_send(id)) {
         connection->close();
         --connections_;
         return;
     }
-    server.idle.push_back(connection);
+    find(id)->idle.push_back(connection);
     connection->rest([this, id, lost = std::weak_ptr<Connection>(connection)] {
-        if (std::erase(servers_[id].idle, lost.lock()) > 0) --connections_;
+        Server* server = find(id);
+        if (server && std::erase(server->idle, lost.lock()) > 0) --connections_;
     });
 }
 
@@ -164,7 +169,7 @@
 void ServerPool::probe(ServerId to, Duration limit) {
     auto began = Connection::Steady::now();
     auto took = [began] { return Duration{Connection::Steady::now() - began}; };
-    ConnectionPtr connection = connection_to(servers_[to]);
+    ConnectionPtr connection = connection_to(to);
     if (!connection) {
         asio::post(io_, [this, to, took] { events_.probe_ended(to, took(), Outcome::ConnectFailed, {}); });
         return;
@@ -189,10 +194,11 @@
 }
 
 void ServerPool::close_idle(ServerId id) {
-    Server& server = servers_[id];
-    for (const ConnectionPtr& connection : server.idle) connection->close();
-    connections_ -= server.idle.size();
-    server.idle.clear();
+    Server* server = find(id);
+    if (!server) return;
+    for (const ConnectionPtr& connection : server->idle) connection->close();
+    connections_ -= server->idle.size();
+    server->idle.clear();
 }
 
 // Closes what servers are about to close: a request written after that would be lost.
--- a/src/http/server_pool.h
+++ b/src/http/server_pool.h
@@ -44,7 +44,15 @@
         }
     };
 
-    ConnectionPtr connection_to(Server& server);
+    Server* find(ServerId id) {
+        auto it = servers_.find(id);
+        return it == servers_.end() ? nullptr : &it->second;
+    }
+    bool may_send(ServerId id) {
+        Server* server = find(id);
+        return server && server->sendable;
+    }
+    ConnectionPtr connection_to(ServerId id);
     void give_back(ServerId id, const ConnectionPtr& connection, const Connection::Result& result);
     void attempt_done(AttemptId id, ServerId server, const ConnectionPtr& connection,
                       Connection::Result result);
@@ -58,7 +66,7 @@
     Duration connect_timeout_, idle_most_;
     bool removal_binds_;
     std::size_t most_connections_, connections_ = 0;
-    std::unordered_map<ServerId, Server> servers_;
+    std::unordered_map<ServerId, Server> servers_;  // those that may be sent to; what has left is forgotten
     std::unordered_map<AttemptId, ConnectionPtr, IdHash, IdSame> attempts_;
     boost::asio::steady_timer sweep_;
 };
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -24,12 +24,12 @@
 constexpr std::chrono::milliseconds kDrainLook{20};
 
 void serve(const NodeConfig& config) {
-    BufferPool pool;  // before the loop, whose pending handlers still hold buffers when it goes
+    BufferPool pool(config.memory_mb);  // before the loop, whose pending handlers still hold buffers when it goes
     asio::io_context io{1};
     DescriptorBudget budget = DescriptorBudget::of(config.sockets);
     Engine engine(io, config.settings, config.seed);
     http::ServerPool servers(io, pool, engine, config.settings, budget.servers);
-    discovery::Watcher watcher(io, pool, config.names, config.discovery,
+    discovery::Watcher watcher(io, pool, config.names, config.settings.removal_not_binding, config.discovery,
                                [&engine](const Listing& listing) { engine.listed(listing); });
     engine.connect(servers, watcher);
     http::Front front(io, pool, engine, config.settings, config.names, config.listen, budget);
--- a/src/net/buffer_pool.h
+++ b/src/net/buffer_pool.h
@@ -57,9 +57,16 @@
 class BufferPool {
 public:
     static constexpr std::size_t kSize = std::size_t{64} * 1024;  // the largest body there is
-    static constexpr std::size_t kKept = 256;                     // free ones kept; the rest is given back
+    static constexpr std::size_t kPerMb = (std::size_t{1} << 20) / kSize;
 
+    /// Of the memory that the process may hold, free buffers keep a sixteenth; half is the most to be in use
+    /// before whoever can do without a further one should.
+    explicit BufferPool(std::size_t memory_mb)
+        : kept_(memory_mb * kPerMb / 16), most_(memory_mb * kPerMb / 2) {}
+
+    bool scarce() const { return out_ >= most_; }
     Buffer take() {
+        ++out_;
         if (free_.empty())
             return {*this, std::unique_ptr<char[]>(new char[kSize])};  // not zeroed: not touched
         Buffer buffer{*this, std::move(free_.back())};
@@ -69,6 +76,7 @@
 
 private:
     friend class Buffer;
+    std::size_t kept_, most_, out_ = 0;
     std::vector<std::unique_ptr<char[]>> free_;
 };
 
@@ -83,7 +91,8 @@
 }
 
 inline void Buffer::release() {
-    if (data_ && pool_->free_.size() < BufferPool::kKept) pool_->free_.push_back(std::move(data_));
+    if (data_) --pool_->out_;
+    if (data_ && pool_->free_.size() < pool_->kept_) pool_->free_.push_back(std::move(data_));
     data_.reset();
     used_ = 0;
 }
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -40,6 +40,7 @@
 constexpr Duration kLookWait{6};         // a server that answers a look later than this is standing still
 constexpr Duration kRewatchMin{600};     // first wait after a failed list call; doubles, with jitter
 constexpr Duration kRewatchMax{4000};    // ... up to this, far inside any grace for asking
+constexpr Duration kForgetAfter{60000};  // a server that the list lacks for this is forgotten
 constexpr double kColdMargin = 0.7;      // part of a cold server's budget that is used: chance, handshakes
 constexpr double kPaceGain = 0.15;       // weight of one answer in a server's pace
 constexpr double kFleetPaceGain = 0.06;  // ... and in the fleet's
@@ -81,6 +82,9 @@
     ListEntry entry;
     bool listed = false;
     bool named = false;  // listed by the list before this one
+    TimePoint listed_at{};   // when it was listed last
+    int refs = 0;            // attempts of requests that are still known
+    bool free = false;       // forgotten: its place may be taken by another
     bool seen_draining = false;
     std::optional<TimePoint> started;  // last known start, from the list or guessed after an outage
     Health health = Health::Unknown;
@@ -182,7 +186,10 @@
         choose_members();
         serve_queue();
         for (RequestId id : done_)
-            if (Request* r = find(id); r && r->finished && r->open == 0) requests_.erase(id);
+            if (Request* r = find(id); r && r->finished && r->open == 0) {
+                for (const Attempt& a : r->attempts) --servers_[a.server].refs;
+                requests_.erase(id);
+            }
         done_.clear();
         if (!timers_.empty() && (!wake_ || timers_.top().at < *wake_)) {
             wake_ = timers_.top().at;
@@ -206,13 +213,40 @@
         if (update.kind != ListKind::Delta)  // a whole list: what it does not name has gone
             for (Server& s : servers_) s.listed = false, s.named = s.entry.phase != Phase::Gone;
         for (const ListEntry& entry : update.entries) apply(entry);
+        if (update.kind != ListKind::Cached) forget_gone();
         subset_stale_ = true;
     }
 
+    // Where servers are replaced by new ones for good, what is known of them must not grow for good.
+    void forget_gone() {
+        for (std::size_t i = 0; i < servers_.size(); ++i) {
+            Server& s = servers_[i];
+            if (s.listed) s.listed_at = now_;
+            bool stays = s.free || s.listed || set_.removal_not_binding || s.refs > 0 || s.probe_open;
+            if (stays || now_ - s.listed_at < kForgetAfter) continue;
+            index_.erase(s.id);
+            std::erase(ranked_, i);
+            std::uint64_t epoch = s.probe_epoch + 1;  // timers of its probes mean nothing to the next
+            s = Server{};
+            s.free = true;
+            s.probe_epoch = epoch;
+        }
+    }
+
+    std::size_t place() {
+        auto is_free = [](const Server& s) { return s.free; };
+        auto found = std::find_if(servers_.begin(), servers_.end(), is_free);
+        if (found == servers_.end()) found = servers_.emplace(found);
+        found->free = false;
+        found->listed_at = now_;
+        return std::size_t(found - servers_.begin());
+    }
+
     void apply(const ListEntry& entry) {
-        auto [it, fresh] = index_.try_emplace(entry.server, servers_.size());
+        auto [it, fresh] = index_.try_emplace(entry.server, 0);
         if (fresh) {
-            Server& made = servers_.emplace_back();
+            it->second = place();
+            Server& made = servers_[it->second];
             made.id = entry.server;
             made.rank = random_();
             auto behind = [this](std::uint64_t rank, std::size_t i) { return rank < servers_[i].rank; };
@@ -723,6 +757,7 @@
         r.attempts.push_back({i, now_, Fate::Open, false, false, idled, int(held(s))});
         ++r.open;
         ++s.own;
+        ++s.refs;
         s.last_send = now_;
         if (share(s) < 1) s.cold_sends.push_back(now_);
         emit(Forward{r.id, s.id, set_.cancel ? r.useful_until - now_ : Duration{0}});
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -1,5 +1,6 @@
 // The design's path and each exception, by hand-built events.
 #include <gtest/gtest.h>
+#include <malloc.h>
 
 #include <cmath>
 
@@ -727,6 +728,22 @@
     EXPECT_EQ(first, trace());
 }
 
+// Where servers are replaced for good, what is known of them does not grow for good.
+TEST(Registry, WhatHasLongGoneIsForgotten) {
+    Gateway g(unprobed());
+    auto replace = [&](ServerId from, ServerId to) {
+        for (ServerId id = from; id < to; ++id) g.list(1000.0 * id, {entry(id), entry(id + 1)});
+    };
+    replace(1, 200);
+    std::size_t before = mallinfo2().uordblks;  // zero under the sanitizers, which have memory of their own
+    replace(200, 4000);
+    EXPECT_LT(mallinfo2().uordblks, before + 200'000);
+    g.arrive(4'000'000, 1);
+    auto to = sent_to(g.arrive(4'000'001, 2));
+    ASSERT_TRUE(to);
+    EXPECT_GE(*to, 3999u);
+}
+
 TEST(Calm, StrayEventsAndAnEmptyListDoNoHarm) {
     Gateway g;
     g.tell(0, Woken{});
