Keep clients that asked once from using up what clients may hold

A trace of Front at each accept showed 126 idle connections and 52 silent ones of 384 descriptors from 3.8 s on, and up to 1,200 connections a second that ask GET /healthz once and stay. 126 is the third that clients may hold: good ones could open no more. Their kept connections went with the others, as the oldest idle one went first whoever had it. At fault: Front kept idle connections up to its own budget of 180 and did not tell one-time clients from others.

Now of the connections that have asked at most 0.28 of the descriptors are kept, and one that asked once goes before one that asks again and again. Ruled out: the module (2 refusals in 20 s), buffers, framing, a full accept queue.

--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -108,7 +108,7 @@
 }
 
 void ClientSession::dispatch() {
-    first_ = false;
+    again_ = !std::exchange(first_, false);
     stand(Front::Busy);
     close_after_ = !parser_->keep_alive() || overloaded_;
     std::shared_ptr<HttpMessage> request = parser_->take();
@@ -205,7 +205,7 @@
     begun_ = told_to_continue_ = false;
     enter(State::Reading);
     if (!unread_) {
-        stand(Front::Idle);
+        stand(again_ ? Front::Idle : Front::Once);
         return wait_to_read();
     }
     // The next request came along with the last. Read later: a buffer full of small ones, each answered from
--- a/src/http/client_session.h
+++ b/src/http/client_session.h
@@ -60,6 +60,7 @@
     Buffer unread_;
     bool begun_ = false;  // some of a request has come
     bool first_ = true;   // ... and it is this connection's first
+    bool again_ = false;  // it has asked more than once
     bool told_to_continue_ = false;
     bool close_after_ = false;
     RequestId request_ = 0;
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -89,22 +89,31 @@
 // A crowd that says nothing must not push out a connection that has only just come, its request on its way:
 // before that one an idle connection goes, whose client opens another when it needs it.
 bool Front::make_room() {
-    constexpr std::pair<Standing, bool> kOrder[]{{Leaving, true}, {Silent, false}, {Starting, false},
-                                                 {Idle, true},    {Silent, true},  {Starting, true}};
-    for (auto [standing, even_fresh] : kOrder) {
-        int looks = kLooks;  // each costs a call: a crowd is not searched from end to end at every accept
-        for (const auto& session : sessions_[standing]) {
-            if (!even_fresh && session->stood() < kFresh) break;  // those behind are fresher still
-            if (session->spare()) {
-                std::shared_ptr<ClientSession>(session)->close();
-                return true;
-            }
-            if (--looks == 0) break;
+    return close_one(Leaving, true) || close_one(Silent, false) || close_one(Starting, false) ||
+           close_one(Once, true) || close_one(Idle, true) || close_one(Silent, true) ||
+           close_one(Starting, true);
+}
+
+bool Front::close_one(Standing standing, bool even_fresh) {
+    int looks = kLooks;  // each costs a call: a crowd is not searched from end to end at every accept
+    for (const auto& session : sessions_[standing]) {
+        if (!even_fresh && session->stood() < kFresh) break;  // those behind are fresher still
+        if (session->spare()) {
+            std::shared_ptr<ClientSession>(session)->close();
+            return true;
         }
+        if (--looks == 0) break;
     }
     return false;
 }
 
+// Clients may hold a third of the descriptors. Those that asked once and keep their connection would use it up,
+// and nobody else could ask.
+void Front::keep_to_share() {
+    while (sessions_[Once].size() + sessions_[Idle].size() + sessions_[Busy].size() > budget_.asked)
+        if (!close_one(Once, true) && !close_one(Idle, true)) return;
+}
+
 void Front::closed(Place place, Standing standing) {
     // The session may be running just now: it goes later, its descriptor is free already.
     asio::post(io_, [this, gone = std::move(*place)] { accept(); });
@@ -127,6 +136,7 @@
     auto spare = [](const auto& session) { return session->spare(); };
     return sessions_[Starting].empty() && sessions_[Busy].empty() &&
            std::all_of(sessions_[Silent].begin(), sessions_[Silent].end(), spare) &&
+           std::all_of(sessions_[Once].begin(), sessions_[Once].end(), spare) &&
            std::all_of(sessions_[Idle].begin(), sessions_[Idle].end(), spare);
 }
 
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -50,11 +50,13 @@
 
     // For the sessions. Where descriptors run short, what stands first here makes way first, and among equals
     // what has stood for longest: those that never sent a request go before a good client's idle connection.
-    enum Standing : std::size_t { Leaving, Silent, Starting, Idle, Busy, kStandings };
+    enum Standing : std::size_t { Leaving, Silent, Starting, Once, Idle, Busy, kStandings };
     using Sessions = std::list<std::shared_ptr<ClientSession>>;
     using Place = Sessions::iterator;
+    // One that asked once and stayed goes before one that is used again and again.
     void stands(Place place, Standing from, Standing to) {
         sessions_[to].splice(sessions_[to].end(), sessions_[from], place);
+        if (to == Busy) keep_to_share();
     }
     void closed(Place place, Standing standing);
 
@@ -63,6 +65,8 @@
     void take(boost::asio::ip::tcp::socket socket);
     std::size_t held() const;
     bool make_room();
+    bool close_one(Standing standing, bool even_fresh);
+    void keep_to_share();
     void sweep();
 
     boost::asio::io_context& io_;
--- a/src/net/descriptor_budget.h
+++ b/src/net/descriptor_budget.h
@@ -11,6 +11,7 @@
 struct DescriptorBudget {
     std::size_t clients = 0;       ///< connections kept for clients
     std::size_t clients_over = 0;  ///< ... and how many more may come in to be told 503
+    std::size_t asked = 0;         ///< ... of which have asked for something: clients hold a third at most
     std::size_t servers = 0;       ///< connections to servers, idle ones included
 
     /// Of `sockets` or the process's own limit, whichever is less; keeps some for all else.
@@ -23,6 +24,7 @@
         budget.servers = rest * 2 / 5;
         budget.clients_over = rest / 10;
         budget.clients = rest - budget.servers - budget.clients_over;
+        budget.asked = std::min(budget.clients, sockets * 7 / 25);  // under the third: a few are on their way
         return budget;
     }
 };
