Rewrite headers by rules from the operators' own file

Asked for by the operators: ordered rules that add, drop and rename headers of requests and answers, a Forwarded element, and hop-by-hop headers removed with what Connection names.

The file is new too: src/config/operators_file reads it by one table of settings (name, check, default) and collects faults with their lines; -f names it. SIGHUP reads both files, and both are sound or neither counts.

Readings: a client that lists X-Trace-Id or Idempotency-Key in Connection does not get rid of them, since an order could run twice; Host is refused in rules, since a request has exactly one; rules pass over the node's own answers. Checked and ruled out: fnmatch for the globs, whose cost for a pattern of several stars grows with a power of the path's length, and paths come from clients.

Tests: rewrites and bad_rule over real sockets and the command line, rewrites_test for IPv6 and refused rules.

--- /dev/null
+++ b/src/config/operators_file.cpp
@@ -0,0 +1,204 @@
+#include "config/operators_file.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <map>
+#include <numeric>
+#include <utility>
+
+namespace ochrehub {
+namespace {
+
+constexpr std::size_t kSizeMost = 1 << 20;  // a wrong path may name what never ends
+constexpr std::size_t kQuoted = 200;
+constexpr std::string_view kBlank = " \t";
+
+struct Taking {
+    OperatorSettings& settings;
+    const std::vector<std::string>* classes;
+    std::string_view value;
+};
+
+/// Takes a value in. Returns what is wrong with it, worded to follow the line, or nothing.
+using Take = std::string (*)(const Taking&);
+
+struct Setting {
+    std::string_view name;
+    std::string_view feature;   // the switch that it turns on; a switch itself has the same name
+    std::string_view fallback;  // empty: none
+    Take take;
+    bool repeats = false;
+};
+
+std::string take_word(bool& into, std::string_view value) {
+    into = value == "on";
+    return into || value == "off" ? "" : "is neither on nor off";
+}
+
+constexpr Setting kSettings[] = {
+    {"rewrites", "rewrites", "off",
+     [](const Taking& t) { return take_word(t.settings.rewrites.on, t.value); }},
+    {"rewrite_forwarded", "rewrites", "on",
+     [](const Taking& t) { return take_word(t.settings.rewrites.forwarded, t.value); }},
+    {"rewrite", "rewrites", "",
+     [](const Taking& t) {
+         return rewrite::read_rule(t.value, t.classes, t.settings.rewrites.rules.emplace_back());
+     },
+     true},
+};
+
+const Setting* find_setting(std::string_view name) {
+    const Setting* found =
+        std::find_if(std::begin(kSettings), std::end(kSettings), [&](auto& s) { return s.name == name; });
+    return found == std::end(kSettings) ? nullptr : found;
+}
+
+std::size_t distance(std::string_view a, std::string_view b) {  // Levenshtein's
+    std::vector<std::size_t> row(b.size() + 1);
+    std::iota(row.begin(), row.end(), 0);
+    for (std::size_t i = 0; i < a.size(); ++i) {
+        std::size_t diagonal = std::exchange(row[0], i + 1);
+        for (std::size_t j = 0; j < b.size(); ++j) {
+            std::size_t swap = diagonal + (a[i] == b[j] ? 0 : 1);
+            diagonal = row[j + 1];
+            row[j + 1] = std::min({swap, diagonal + 1, row[j] + 1});
+        }
+    }
+    return row.back();
+}
+
+std::string_view nearest(std::string_view name) {
+    name = name.substr(0, kQuoted);
+    return std::min_element(
+               std::begin(kSettings), std::end(kSettings),
+               [&](const auto& a, const auto& b) { return distance(name, a.name) < distance(name, b.name); })
+        ->name;
+}
+
+std::string_view trimmed(std::string_view text) {
+    text.remove_prefix(std::min(text.size(), text.find_first_not_of(kBlank)));
+    return text.substr(0, text.find_last_not_of(kBlank) + 1);
+}
+
+/// Up to a comment: a `#` at the start or behind a blank, outside of quotes.
+std::string_view without_comment(std::string_view line) {
+    bool quoted = false;
+    for (std::size_t i = 0; i < line.size(); ++i) {
+        if (line[i] == '\\' && quoted) {
+            ++i;
+        } else if (line[i] == '"') {
+            quoted = !quoted;
+        } else if (line[i] == '#' && !quoted && (i == 0 || kBlank.find(line[i - 1]) != kBlank.npos)) {
+            return line.substr(0, i);
+        }
+    }
+    return line;
+}
+
+bool is_control(unsigned char c) {
+    return (c < 0x20 && c != '\t') || c == 0x7f;
+}
+
+/// A fault is one line of a log, whatever the file holds.
+std::string fault_of(int number, std::string_view line, const std::string& what) {
+    std::string quoted(line.substr(0, kQuoted));
+    std::replace_if(quoted.begin(), quoted.end(), is_control, '?');
+    std::string fault = what;
+    std::replace_if(fault.begin(), fault.end(), is_control, '?');
+    return "line " + std::to_string(number) + ": \"" + quoted + "\" " + fault;
+}
+
+class Reader {
+public:
+    explicit Reader(const std::vector<std::string>* classes) : classes_(classes) {
+        for (const Setting& setting : kSettings)
+            if (!setting.fallback.empty()) setting.take({file_.settings, classes_, setting.fallback});
+    }
+
+    void line(int number, std::string_view text) {
+        text = trimmed(without_comment(text));
+        if (text.empty()) return;
+        auto wrong = [&](const std::string& what) { file_.faults.push_back(fault_of(number, text, what)); };
+        if (std::any_of(text.begin(), text.end(), is_control)) return wrong("holds a control byte");
+        std::string_view name = text.substr(0, text.find_first_of(kBlank));
+        std::string_view value = trimmed(text.substr(name.size()));
+        const Setting* setting = find_setting(name);
+        if (!setting) return wrong("is no known setting; the nearest is " + std::string(nearest(name)));
+        if (value.empty()) return wrong("has no value");
+        std::vector<Given>& given = given_[setting];
+        if (!given.empty() && !setting->repeats)
+            return wrong("is given a second time: line " + std::to_string(given.front().line) + " has \"" +
+                         std::string(name) + " " + given.front().value + "\"");
+        given.push_back({number, std::string(value)});
+        if (std::string fault = setting->take({file_.settings, classes_, value}); !fault.empty())
+            wrong(fault);
+    }
+
+    OperatorsFile finish() {
+        settle(file_.settings.rewrites.on, "rewrites");
+        // Forwarded is a part of the rewrites: without them there is none.
+        bool no_forwarded = !file_.settings.rewrites.on;
+        for (const Setting& setting : kSettings) {
+            const std::vector<Given>& given = given_[&setting];
+            for (const Given& one : given)
+                file_.values.push_back({std::string(setting.name), one.value, one.line});
+            if (!given.empty() || setting.repeats) continue;
+            bool none = setting.name == "rewrite_forwarded" && no_forwarded;
+            file_.values.push_back(
+                {std::string(setting.name), none ? "off" : std::string(setting.fallback), 0});
+        }
+        return std::move(file_);
+    }
+
+    void fault(std::string text) { file_.faults.push_back(std::move(text)); }
+
+private:
+    struct Given {
+        int line;
+        std::string value;
+    };
+
+    /// Any setting of a feature turns it on, unless its switch says otherwise.
+    void settle(bool& on, std::string_view feature) {
+        std::vector<Given>& of_switch = given_[find_setting(feature)];
+        if (!of_switch.empty()) return;
+        for (const Setting& setting : kSettings)
+            if (setting.feature == feature && !given_[&setting].empty())
+                if (int first = given_[&setting].front().line; !on || first < of_switch.front().line) {
+                    on = true;
+                    of_switch.assign(1, {first, "on"});
+                }
+    }
+
+    const std::vector<std::string>* classes_;
+    OperatorsFile file_;
+    std::map<const Setting*, std::vector<Given>> given_;
+};
+
+}  // namespace
+
+OperatorsFile read_operators_file(const std::string& path, const std::vector<std::string>* classes) {
+    Reader reader(classes);
+    std::ifstream in(path, std::ios::binary);
+    std::string text(kSizeMost + 1, '\0');
+    in.read(text.data(), std::streamsize(text.size()));
+    text.resize(std::size_t(in.gcount()));
+    if (!in.is_open() || in.bad()) {
+        reader.fault("cannot read " + path + ": " + std::strerror(errno));
+    } else if (text.size() > kSizeMost) {
+        reader.fault(path + " is over 1 MiB: no file of settings");
+    } else {
+        int number = 0;
+        for (std::string_view rest = text; !rest.empty();) {
+            std::string_view line = rest.substr(0, rest.find('\n'));
+            rest.remove_prefix(std::min(rest.size(), line.size() + 1));
+            if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+            reader.line(++number, line);
+        }
+    }
+    return reader.finish();
+}
+
+}  // namespace ochrehub
--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -1,9 +1,11 @@
 #include "http/client_session.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <cstdio>
+#include <iterator>
 #include <utility>
 
 namespace ochrehub::http {
@@ -129,12 +131,25 @@
         close_after_ = true;
         return reject(409);
     }
+    rewrites_ = front_.rewrites();
+    if (rewrites_) rewrite(*request, reading.call.request.class_index);
     reading.call.message = std::move(request);
     enter(State::Waiting);
     request_ = front_.engine().submit(std::move(reading.call), shared_from_this());
     watch_client();
 }
 
+// Here and not where attempts start: each of them sends the same.
+void ClientSession::rewrite(HttpMessage& request, int class_index) {
+    class_name_ = front_.class_name(class_index);
+    path_ = path_of(request.target);
+    error_code unknown;
+    asio::ip::address address = socket_.remote_endpoint(unknown).address();
+    if (address.is_v6() && address.to_v6().is_v4_mapped())
+        address = asio::ip::make_address_v4(asio::ip::v4_mapped, address.to_v6());
+    rewrites_->request(request.headers, class_name_, path_, unknown ? "unknown" : address.to_string());
+}
+
 // A client that closes its connection has gone away. What it sends on before that is kept, so that its close
 // shows behind it; one that fills the buffer is read no further and unwatched till it is answered.
 void ClientSession::watch_client() {
@@ -171,8 +186,12 @@
     auto body = std::static_pointer_cast<const HttpMessage>(std::move(reply.message));
     bool last = close_after_ || front_.draining();
     std::string head = answer_head(200, body->body_view().size(), last);
-    for (const auto& [name, value] : body->headers)
-        if (!hop_by_hop(name) && !same_name(name, "Endpoint-Load-Metrics")) put_header(head, name, value);
+    auto is_report = [](const auto& header) { return same_name(header.first, "Endpoint-Load-Metrics"); };
+    Headers headers;
+    std::remove_copy_if(body->headers.begin(), body->headers.end(), std::back_inserter(headers), is_report);
+    if (rewrites_) rewrites_->answer(headers, class_name_, path_);
+    for (const auto& [name, value] : headers)
+        if (!hop_by_hop(name)) put_header(head, name, value);
     respond(head + "\r\n", std::move(body));
 }
 
--- a/src/http/client_session.h
+++ b/src/http/client_session.h
@@ -42,6 +42,7 @@
     void read();
     bool parse();
     void dispatch();
+    void rewrite(HttpMessage& request, int class_index);
     void watch_client();
     void reject(int status, const std::string& extra = {});
     void respond(std::string head, std::shared_ptr<const HttpMessage> body);
@@ -65,6 +66,9 @@
     bool close_after_ = false;
     RequestId request_ = 0;
     std::string trace_;  // its id, held while it is open
+    // The rules that this request came under count for its answer too, with its class and path.
+    std::shared_ptr<const rewrite::Rewrites> rewrites_;
+    std::string class_name_, path_;
     Outgoing outgoing_;
     std::uint64_t watch_ = 0;  // a wait of an earlier watch does nothing
 };
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -23,12 +23,9 @@
 constexpr double kPatienceMost = 3600;  // seconds
 
 std::string_view first_part(std::string_view target) {
-    if (target.substr(0, 7) == "http://") {  // a whole URL is as good
-        target.remove_prefix(7);
-        target.remove_prefix(std::min(target.size(), target.find('/')));
-    }
-    if (!target.empty() && target.front() == '/') target.remove_prefix(1);
-    return target.substr(0, target.find_first_of("/?"));
+    std::string_view path = path_of(target);
+    if (!path.empty() && path.front() == '/') path.remove_prefix(1);
+    return path.substr(0, path.find('/'));
 }
 
 }  // namespace
@@ -107,8 +104,8 @@
     return false;
 }
 
-// Clients may hold a third of the descriptors. Those that asked once and keep their connection would use it up,
-// and nobody else could ask.
+// Clients may hold a third of the descriptors. Those that asked once and keep their connection would use it
+// up, and nobody else could ask.
 void Front::keep_to_share() {
     while (sessions_[Once].size() + sessions_[Idle].size() + sessions_[Busy].size() > budget_.asked)
         if (!close_one(Once, true) && !close_one(Idle, true)) return;
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -10,12 +10,14 @@
 #include <memory>
 #include <string>
 #include <unordered_set>
+#include <utility>
 
 #include "config/decode.h"
 #include "engine/engine.h"
 #include "http/message.h"
 #include "net/buffer_pool.h"
 #include "net/descriptor_budget.h"
+#include "rewrite/rewrites.h"
 
 namespace ochrehub::http {
 
@@ -44,6 +46,11 @@
     };
     Reading read_call(const HttpMessage& request) const;
 
+    /// The operators' rules for headers, for requests from now on; null: none.
+    void rewrite_by(std::shared_ptr<const rewrite::Rewrites> rewrites) { rewrites_ = std::move(rewrites); }
+    const std::shared_ptr<const rewrite::Rewrites>& rewrites() const { return rewrites_; }
+    const std::string& class_name(int index) const { return names_.classes[std::size_t(index)]; }
+
     /// The ids of the requests that are open here: another with the same would be taken for a second copy.
     bool claim(const std::string& id) { return open_ids_.insert(id).second; }
     void release(const std::string& id) { open_ids_.erase(id); }
@@ -79,6 +86,7 @@
     boost::asio::steady_timer retry_, sweep_;
     std::array<Sessions, kStandings> sessions_;
     std::unordered_set<std::string> open_ids_;
+    std::shared_ptr<const rewrite::Rewrites> rewrites_;
     bool accepting_ = false;
     bool draining_ = false;
 };
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -7,14 +7,6 @@
 
 namespace ochrehub::http {
 
-bool hop_by_hop(std::string_view name) {
-    static constexpr std::array<std::string_view, 12> kNames{
-        "Connection", "Keep-Alive",  "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-        "TE",         "Trailer",     "Upgrade",          "Transfer-Encoding",  "Content-Length",
-        "Expect",     "X-Expires-In"};
-    return std::any_of(kNames.begin(), kNames.end(), [&](std::string_view n) { return same_name(n, name); });
-}
-
 bool plain_framing(const HttpMessage& message) {
     std::string_view length = message.header("Content-Length"), coding = message.header("Transfer-Encoding");
     std::size_t lengths = message.count("Content-Length"), codings = message.count("Transfer-Encoding");
@@ -23,6 +15,14 @@
     return lengths == 0 || length.find_first_not_of("0123456789") == std::string_view::npos;
 }
 
+std::string_view path_of(std::string_view target) {
+    if (target.substr(0, 7) == "http://") {  // a whole URL is as good
+        target.remove_prefix(7);
+        target.remove_prefix(std::min(target.size(), target.find('/')));
+    }
+    return target.substr(0, target.find('?'));
+}
+
 void put_header(std::string& head, std::string_view name, std::string_view value) {
     head.append(name).append(": ").append(value).append("\r\n");
 }
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -2,15 +2,14 @@
 #pragma once
 
 #include <algorithm>
-#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <cstdint>
 #include <string>
 #include <string_view>
 #include <utility>
-#include <vector>
 
 #include "engine/types.h"
+#include "http/fields.h"
 #include "net/buffer_pool.h"
 
 namespace ochrehub::http {
@@ -22,15 +21,11 @@
     return {text.data(), text.size()};
 }
 
-inline bool same_name(std::string_view a, std::string_view b) {
-    return boost::beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
-}
-
 /// A request or an answer, whole. What the engine carries unread between the client's side and a server's.
 struct HttpMessage : Message {
     std::string method, target;  ///< of a request
     int status = 0;              ///< of an answer
-    std::vector<std::pair<std::string, std::string>> headers;
+    Headers headers;
     Buffer body;
 
     /// Empty where there is none.
@@ -104,8 +99,8 @@
     std::shared_ptr<HttpMessage> message_;
 };
 
-/// True for what concerns one connection alone, or is set anew on each: not passed on.
-bool hop_by_hop(std::string_view name);
+/// The path of a request's target: without the host of a whole URL, and without the query.
+std::string_view path_of(std::string_view target);
 
 void put_header(std::string& head, std::string_view name, std::string_view value);
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,8 +6,14 @@
 #include <cstdio>
 #include <exception>
 #include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
 
 #include "config/node_config.h"
+#include "config/operators_file.h"
 #include "discovery/watcher.h"
 #include "engine/engine.h"
 #include "http/front.h"
@@ -23,7 +29,16 @@
 constexpr std::chrono::milliseconds kDrainLeast{700};  // clients still come for a while
 constexpr std::chrono::milliseconds kDrainLook{20};
 
-void serve(const NodeConfig& config) {
+/// What the operators' file says; without one all is off. Throws ConfigError with the first fault.
+OperatorSettings read_operators(const std::optional<std::string>& path, const Names& names) {
+    if (!path) return {};
+    OperatorsFile file = read_operators_file(*path, &names.classes);
+    if (!file.faults.empty()) throw ConfigError(*path + ": " + file.faults.front());
+    return file.settings;
+}
+
+void serve(const NodeConfig& config, const std::optional<std::string>& operators_path) {
+    OperatorSettings operators = read_operators(operators_path, config.names);
     BufferPool pool(config.memory_mb);  // before the loop, whose pending handlers still hold buffers when it goes
     asio::io_context io{1};
     DescriptorBudget budget = DescriptorBudget::of(config.sockets);
@@ -34,16 +49,23 @@
     engine.connect(servers, watcher);
     http::Front front(io, pool, engine, config.settings, config.names, config.listen, budget);
     watcher.cached(config.known);
+    auto apply = [&](const OperatorSettings& told) {
+        front.rewrite_by(told.rewrites.on ? std::make_shared<const rewrite::Rewrites>(told.rewrites)
+                                          : nullptr);
+    };
+    apply(operators);
 
-    // SIGHUP: the file is read and checked whole before any of it counts. Of what it says only the address of
-    // discovery can change under way.
+    // SIGHUP: both files are read and checked whole before any of them counts. Of what GW_CONFIG says only
+    // the address of discovery can change under way: the classes that rules may name are those of the start.
     asio::signal_set hup(io, SIGHUP);
     std::function<void()> reload_on_hup = [&] {
         hup.async_wait([&](boost::system::error_code error, int) {
             if (error) return;
             try {
                 NodeConfig fresh = read_node_config(Occasion::Reload);
+                OperatorSettings told = read_operators(operators_path, config.names);
                 watcher.move_to(fresh.discovery);
+                apply(told);
                 log_line("configuration read again");
             } catch (const std::exception& bad) {
                 log_line("configuration kept: %s", bad.what());
@@ -75,10 +97,20 @@
 
 }  // namespace
 
-int main() {
+int main(int count, char** texts) {
+    std::vector<std::string_view> arguments(texts + 1, texts + count);
+    auto are = [&](std::size_t many, std::string_view first) {
+        return arguments.size() == many && arguments.front() == first;
+    };
     try {
-        serve(read_node_config(Occasion::Start));
-        return 0;
+        if (arguments.empty() || are(2, "-f")) {
+            std::optional<std::string> operators;
+            if (!arguments.empty()) operators = arguments[1];
+            serve(read_node_config(Occasion::Start), operators);
+            return 0;
+        }
+        std::fputs("usage: ochrehub [-f FILE]\n", stderr);
+        return 2;
     } catch (const ConfigError& error) {
         std::fprintf(stderr, "%s\n", error.what());
         return 2;
--- a/tests/play.cpp
+++ b/tests/play.cpp
@@ -5,7 +5,8 @@
 //   listener L C> TEXT   C< TEXT      bytes sent, bytes that must come ('*': anything but a line's end;
 //   {N*TEXT}: TEXT N times) list C JSON            an answer 200 with this body eof C   close C   reset C signal
 //   TERM     in TEXT / out TEXT: standard streams     reload: writes config.json anew and sends SIGHUP
-// Listeners are a, b and d (discovery). $a, $b, $d and $n stand for their addresses and the program's own.
+//   conf [TEXT]   adds a line to the operators' file $tmp/conf, or empties it    args TEXT: arguments to start with
+// $tmp is a folder of the play's own. Listeners are a, b and d (discovery). $a, $b, $d and $n stand for their addresses and the program's own.
 // Waits are for events alone; the one time limit there is ends a play that hangs.
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -17,6 +18,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -33,7 +35,7 @@
 std::map<std::string, std::string> names;  // $a and its like
 std::map<std::string, int> listeners, peers;
 std::map<int, std::string> unread;
-std::string config, directory;
+std::string config, directory, arguments;
 pid_t child = -1;
 int to_child = -1, from_child = -1, errors = -1;
 
@@ -166,7 +168,12 @@
             setenv(name.substr(0, name.find('=')).c_str(), expand(name.substr(name.find('=') + 1)).c_str(),
                    1);
         } else if (word == "start") {
-            start(name.empty() ? "exec " + program : line.substr(6) + "; exec " + program);
+            std::string run = "exec " + program + " " + arguments;
+            start(name.empty() ? run : line.substr(6) + "; " + run);
+        } else if (word == "args") {
+            arguments = text;
+        } else if (word == "conf") {
+            std::ofstream(directory + "/conf", name.empty() ? std::ios::trunc : std::ios::app) << text << "\n";
         } else if (word == "connect") {
             peers[name] = connect_client();
         } else if (word == "accept") {
@@ -221,19 +228,18 @@
 
 }  // namespace
 
-int main(int, char** arguments) {
-    std::string file = arguments[2];
+int main(int, char** given) {
+    std::string file = given[2];
     std::ifstream script(file), base(file.substr(0, file.rfind('/')) + "/config.json");
     assert(script && base);
     config.assign(std::istreambuf_iterator<char>(base), {});
     char made[] = "/tmp/play.XXXXXX";
-    directory = mkdtemp(made);
+    names["tmp"] = directory = mkdtemp(made);
     for (const char* name : {"a", "b", "d"}) listeners[name] = listen_on(name);
     close(listen_on("n"));  // the program's: free, and nobody else uses this address
     alarm(60);
-    play(script, arguments[1]);
+    play(script, given[1]);
     if (child > 0) kill(child, SIGKILL);
-    unlink((directory + "/config").c_str());
-    rmdir(directory.c_str());
+    std::filesystem::remove_all(directory);
     return 0;
 }
