Record starts, stops and reloads in a chained audit and verify it

Readings: a refused reload is recorded with its fault; by is the user at a start and the signal otherwise; truncated exits 1 like tampered but is worded apart; the file is locked, since the lines of two processes among each other would look tampered with; audit and audit_file count from the start only.

Found while writing: a capture whose first audit line had lost its prefix was read as an audit_file and the wrong line named; which of both a file is now goes by its first line. audit_stderr fails without that.

Tests: audit and audit_stderr over the command line: edits, a line taken out, one put in, a half-written line, and a start behind it.

--- a/src/config/operators_file.cpp
+++ b/src/config/operators_file.cpp
@@ -37,6 +37,11 @@
     return into || value == "off" ? "" : "is neither on nor off";
 }
 
+std::string take_text(std::string& into, std::string_view value) {
+    into = value;
+    return {};
+}
+
 constexpr Setting kSettings[] = {
     {"rewrites", "rewrites", "off",
      [](const Taking& t) { return take_word(t.settings.rewrites.on, t.value); }},
@@ -47,6 +52,8 @@
          return rewrite::read_rule(t.value, t.classes, t.settings.rewrites.rules.emplace_back());
      },
      true},
+    {"audit", "audit", "off", [](const Taking& t) { return take_word(t.settings.audit.on, t.value); }},
+    {"audit_file", "audit", "", [](const Taking& t) { return take_text(t.settings.audit.file, t.value); }},
 };
 
 const Setting* find_setting(std::string_view name) {
@@ -138,6 +145,7 @@
 
     OperatorsFile finish() {
         settle(file_.settings.rewrites.on, "rewrites");
+        settle(file_.settings.audit.on, "audit");
         // Forwarded is a part of the rewrites: without them there is none.
         bool no_forwarded = !file_.settings.rewrites.on;
         for (const Setting& setting : kSettings) {
@@ -179,6 +187,11 @@
 
 }  // namespace
 
+int OperatorsFile::line_of(std::string_view name) const {
+    auto found = std::find_if(values.begin(), values.end(), [&](const Value& v) { return v.name == name; });
+    return found == values.end() ? 0 : found->line;
+}
+
 OperatorsFile read_operators_file(const std::string& path, const std::vector<std::string>* classes) {
     Reader reader(classes);
     std::ifstream in(path, std::ios::binary);
--- a/src/config/operators_file.h
+++ b/src/config/operators_file.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "audit/journal.h"
 #include "rewrite/rewrites.h"
 
 namespace ochrehub {
@@ -14,6 +15,7 @@
 /// What each feature is told. Without a file all of them are off.
 struct OperatorSettings {
     rewrite::Rewrites rewrites;
+    audit::Told audit;
 };
 
 struct OperatorsFile {
@@ -24,6 +26,9 @@
     OperatorSettings settings;
     std::vector<std::string> faults;  ///< each names its line; while there are any, the settings mean nothing
     std::vector<Value> values;        ///< all that are in force, in the table's order
+
+    /// Where a setting was given; zero: it was not.
+    int line_of(std::string_view name) const;
 };
 
 /// Reads all of it and collects its faults. `classes`, those that GW_CONFIG gives, may be null: not known.
--- a/tests/play.cpp
+++ b/tests/play.cpp
@@ -169,11 +169,12 @@
                    1);
         } else if (word == "start") {
             std::string run = "exec " + program + " " + arguments;
-            start(name.empty() ? run : line.substr(6) + "; " + run);
+            start(name.empty() ? run : text + "; " + run);
         } else if (word == "args") {
             arguments = text;
         } else if (word == "conf") {
-            std::ofstream(directory + "/conf", name.empty() ? std::ios::trunc : std::ios::app) << text << "\n";
+            std::ofstream file(directory + "/conf", name.empty() ? std::ios::trunc : std::ios::app);
+            if (!name.empty()) file << text << "\n";
         } else if (word == "connect") {
             peers[name] = connect_client();
         } else if (word == "accept") {
