Count requests, latencies and what is in flight by class and tenant, in service

Asked for by the operators: StatsD or influx lines in batches to standard error, a file or a UDP collector. It is on in service: deploy/ochrehub.conf is new and 'run' names it.

Nothing waits for a collector: UDP does not block, standard error is asked for room and given PIPE_BUF bytes at most, since others share it and it must not be made non-blocking. What cannot go is kept in 512 KB, the oldest batch goes first, and each lost one is told in figures_dropped; if the batch that tells it is lost, it is told again.

Readings: latency in whole milliseconds; a request whose client left first is counted nowhere; a reload and the stop send what there is; names that StatsD could not tell apart are one series, else two gauges would contradict each other. read_call now tells class and tenant of requests that it turns away, which changes no answer.

Tests: figures, figures_udp (a collector started and stopped), figures_file over real sockets; figures_test for the bound and what a tag may hold.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 
 # Needs GW_CONFIG; GW_NAME, GW_LISTEN and GW_DISCOVERY go before what it holds.
 run: build
-	exec $(BUILD)/ochrehub
+	exec $(BUILD)/ochrehub -f deploy/ochrehub.conf
 
 clean:
 	rm -rf $(BUILD) build-release build-sanitize
--- a/src/config/operators_file.cpp
+++ b/src/config/operators_file.cpp
@@ -2,12 +2,17 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <chrono>
+#include <cmath>
 #include <cstring>
 #include <fstream>
 #include <map>
 #include <numeric>
 #include <utility>
 
+#include "config/decode.h"
+#include "net/address.h"
+
 namespace ochrehub {
 namespace {
 
@@ -37,6 +42,16 @@
     return into || value == "off" ? "" : "is neither on nor off";
 }
 
+std::string_view trimmed(std::string_view text) {
+    text.remove_prefix(std::min(text.size(), text.find_first_not_of(kBlank)));
+    return text.substr(0, text.find_last_not_of(kBlank) + 1);
+}
+
+/// A number may stand with its unit, as in `10 s`.
+std::string_view without_unit(std::string_view value, std::string_view unit) {
+    return trimmed(value.ends_with(unit) ? value.substr(0, value.size() - unit.size()) : value);
+}
+
 std::string take_text(std::string& into, std::string_view value) {
     into = value;
     return {};
@@ -54,6 +69,45 @@
      true},
     {"audit", "audit", "off", [](const Taking& t) { return take_word(t.settings.audit.on, t.value); }},
     {"audit_file", "audit", "", [](const Taking& t) { return take_text(t.settings.audit.file, t.value); }},
+    {"figures", "figures", "off", [](const Taking& t) { return take_word(t.settings.figures.on, t.value); }},
+    {"figures_format", "figures", "statsd",
+     [](const Taking& t) {
+         t.settings.figures.format = t.value == "influx" ? figures::Format::Influx : figures::Format::Statsd;
+         return std::string(t.value == "influx" || t.value == "statsd" ? "" : "is neither statsd nor influx");
+     }},
+    {"figures_to", "figures", "stderr",
+     [](const Taking& t) {
+         using To = figures::Told::To;
+         t.settings.figures.to = t.value == "file" ? To::File : t.value == "udp" ? To::Udp : To::Stderr;
+         bool known = t.value == "stderr" || t.value == "file" || t.value == "udp";
+         return std::string(known ? "" : "is none of stderr, file and udp");
+     }},
+    {"figures_file", "figures", "",
+     [](const Taking& t) { return take_text(t.settings.figures.file, t.value); }},
+    {"figures_udp", "figures", "",
+     [](const Taking& t) {
+         auto address = parse_address(t.value);
+         if (!address || address->port() == 0) return std::string("is not an address a.b.c.d:port");
+         t.settings.figures.udp = {address->address(), address->port()};
+         return std::string();
+     }},
+    {"figures_interval", "figures", "10",
+     [](const Taking& t) {
+         auto seconds = read_number<double>(without_unit(t.value, "s"));
+         if (!seconds) return std::string("is not a number of seconds");
+         if (!(*seconds >= 0.1 && *seconds <= 3600)) return std::string("is not from 0.1 to 3600 seconds");
+         t.settings.figures.interval = std::chrono::milliseconds(std::lround(*seconds * 1000));
+         return std::string();
+     }},
+    {"figures_batch", "figures", "1400",
+     [](const Taking& t) {
+         auto bytes = read_number<std::size_t>(without_unit(t.value, "bytes"));
+         if (!bytes) return std::string("is not a number of bytes");
+         // A line fits in, and a datagram holds no more.
+         if (*bytes < 256 || *bytes > 65507) return std::string("is not from 256 to 65507 bytes");
+         t.settings.figures.batch = *bytes;
+         return std::string();
+     }},
 };
 
 const Setting* find_setting(std::string_view name) {
@@ -84,11 +138,6 @@
         ->name;
 }
 
-std::string_view trimmed(std::string_view text) {
-    text.remove_prefix(std::min(text.size(), text.find_first_not_of(kBlank)));
-    return text.substr(0, text.find_last_not_of(kBlank) + 1);
-}
-
 /// Up to a comment: a `#` at the start or behind a blank, outside of quotes.
 std::string_view without_comment(std::string_view line) {
     bool quoted = false;
@@ -146,6 +195,8 @@
     OperatorsFile finish() {
         settle(file_.settings.rewrites.on, "rewrites");
         settle(file_.settings.audit.on, "audit");
+        settle(file_.settings.figures.on, "figures");
+        needs_target();
         // Forwarded is a part of the rewrites: without them there is none.
         bool no_forwarded = !file_.settings.rewrites.on;
         for (const Setting& setting : kSettings) {
@@ -180,6 +231,15 @@
                 }
     }
 
+    void needs_target() {
+        const std::vector<Given>& to = given_[find_setting("figures_to")];
+        if (to.empty()) return;
+        std::string target = "figures_" + to.front().value;
+        if (const Setting* named = find_setting(target); named && given_[named].empty())
+            file_.faults.push_back(
+                fault_of(to.front().line, "figures_to " + to.front().value, "needs " + target));
+    }
+
     const std::vector<std::string>* classes_;
     OperatorsFile file_;
     std::map<const Setting*, std::vector<Given>> given_;
--- a/src/config/operators_file.h
+++ b/src/config/operators_file.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "audit/journal.h"
+#include "figures/figures.h"
 #include "rewrite/rewrites.h"
 
 namespace ochrehub {
@@ -16,6 +17,7 @@
 struct OperatorSettings {
     rewrite::Rewrites rewrites;
     audit::Told audit;
+    figures::Told figures;
 };
 
 struct OperatorsFile {
--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -57,7 +57,7 @@
     for (int reads = 0; reads < kReadsAtOnce; ++reads) {
         if (!unread_ && front_.pool().scarce()) {  // many requests half sent must not cost more than there is
             close_after_ = true;
-            return reject(503, "Retry-After: 1\r\n");
+            return reject_unread(503, "Retry-After: 1\r\n");
         }
         if (!unread_) unread_ = front_.pool().take();
         error_code error;
@@ -71,6 +71,7 @@
             if (!first_) since_ = Steady::now();
             stand(first_ ? Front::Starting : Front::Busy);
         }
+        heard_ = Steady::now();
         unread_.grow(got);
         if (parse()) return;
     }
@@ -91,7 +92,7 @@
                          : bad == beast::error::body_limit ? 413
                                                            : 400;
             close_after_ = true;
-            reject(status);
+            reject_unread(status);
             return true;
         }
         if (parser_->is_done()) {
@@ -119,8 +120,9 @@
         if (request->method != "GET") return reject(405, "Allow: GET\r\n");
         return reject(front_.engine().has_servers() && !front_.draining() ? 200 : 503);
     }
-    if (overloaded_) return reject(503, "Retry-After: 1\r\n");
     Front::Reading reading = front_.read_call(*request);
+    figured_ = front_.figures().came(reading.call.request.class_index, reading.call.request.tenant, heard_);
+    if (overloaded_) return reject(503, "Retry-After: 1\r\n");
     if (reading.status != 200) {
         close_after_ = true;
         std::string allow = request->method == "GET" ? "Allow: POST\r\n" : "Allow: GET\r\n";
@@ -161,6 +163,7 @@
             if (unread.room() == 0) return;
             if (!error)
                 unread.grow(self->socket_.read_some(asio::buffer(unread.free_space(), unread.room()), error));
+            self->heard_ = Steady::now();
             if (error && error != asio::error::would_block) return self->close();
             if (unread.view().empty()) unread.release();
             self->watch_client();
@@ -192,15 +195,23 @@
     if (rewrites_) rewrites_->answer(headers, class_name_, path_);
     for (const auto& [name, value] : headers)
         if (!hop_by_hop(name)) put_header(head, name, value);
-    respond(head + "\r\n", std::move(body));
+    respond(200, head + "\r\n", std::move(body));
 }
 
 /// An answer of the node's own, without a body.
 void ClientSession::reject(int status, const std::string& extra) {
-    respond(answer_head(status, 0, close_after_ || front_.draining()) + extra + "\r\n", nullptr);
+    respond(status, answer_head(status, 0, close_after_ || front_.draining()) + extra + "\r\n", nullptr);
+}
+
+/// The same to a request that is not whole or cannot be read, of what is known of it so far.
+void ClientSession::reject_unread(int status, const std::string& extra) {
+    const RequestArrived& known = front_.read_call(parser_->message()).call.request;
+    figured_ = front_.figures().came(known.class_index, known.tenant, heard_);
+    reject(status, extra);
 }
 
-void ClientSession::respond(std::string head, std::shared_ptr<const HttpMessage> body) {
+void ClientSession::respond(int status, std::string head, std::shared_ptr<const HttpMessage> body) {
+    status_ = status;
     close_after_ = close_after_ || front_.draining();
     outgoing_.set(std::move(head), std::move(body));
     enter(State::Writing);
@@ -219,6 +230,8 @@
 
 void ClientSession::next() {
     outgoing_.clear();
+    if (figured_) front_.figures().answered(*figured_, status_);
+    figured_.reset();
     if (close_after_) return linger();
     parser_.emplace(front_.pool());
     begun_ = told_to_continue_ = false;
@@ -275,6 +288,8 @@
     unread_.release();
     parser_.reset();
     outgoing_.clear();
+    if (figured_) front_.figures().left(*figured_);
+    figured_.reset();
     if (owed) {
         front_.release(trace_);
         front_.engine().depart(request_);
@@ -296,7 +311,7 @@
     if (!late() || (state_ == State::Reading && !begun_ && unread_in_socket())) return;
     if (state_ != State::Reading || !begun_) return close();
     close_after_ = true;
-    reject(408);
+    reject_unread(408);
 }
 
 }  // namespace ochrehub::http
--- a/src/http/client_session.h
+++ b/src/http/client_session.h
@@ -45,7 +45,8 @@
     void rewrite(HttpMessage& request, int class_index);
     void watch_client();
     void reject(int status, const std::string& extra = {});
-    void respond(std::string head, std::shared_ptr<const HttpMessage> body);
+    void reject_unread(int status, const std::string& extra = {});
+    void respond(int status, std::string head, std::shared_ptr<const HttpMessage> body);
     void write();
     void next();
     void linger();
@@ -69,6 +70,9 @@
     // The rules that this request came under count for its answer too, with its class and path.
     std::shared_ptr<const rewrite::Rewrites> rewrites_;
     std::string class_name_, path_;
+    std::optional<figures::Figures::Request> figured_;  // till its answer is written whole; none for /healthz
+    int status_ = 0;
+    Steady::time_point heard_{};  // when bytes last came
     Outgoing outgoing_;
     std::uint64_t watch_ = 0;  // a wait of an earlier watch does nothing
 };
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -30,11 +30,13 @@
 
 }  // namespace
 
-Front::Front(asio::io_context& io, BufferPool& pool, Engine& engine, const Settings& settings, Names names,
-             const asio::ip::tcp::endpoint& listen, DescriptorBudget budget)
+Front::Front(asio::io_context& io, BufferPool& pool, Engine& engine, figures::Figures& figures,
+             const Settings& settings, Names names, const asio::ip::tcp::endpoint& listen,
+             DescriptorBudget budget)
     : io_(io),
       pool_(pool),
       engine_(engine),
+      figures_(figures),
       classes_(settings.classes),
       names_(std::move(names)),
       budget_(budget),
@@ -141,20 +143,24 @@
     Reading reading;
     RequestArrived& call = reading.call.request;
     call.class_index = index_of(names_.classes, first_part(request.target));
-    if (call.class_index == kNone) return {404, {}};
+    call.tenant = index_of(names_.tenants, request.header("X-Customer"));
+    auto wrong = [&reading](int status) {
+        reading.status = status;
+        return reading;
+    };
+    if (call.class_index == kNone) return wrong(404);
     const ClassSettings& c = classes_[std::size_t(call.class_index)];
-    if (request.method != (c.effect == Effect::Free ? "GET" : "POST")) return {405, {}};
+    if (request.method != (c.effect == Effect::Free ? "GET" : "POST")) return wrong(405);
     // What is passed on must say who asks and until when, each once: a server may read the other one.
     for (const char* name : {"X-Trace-Id", "X-Customer", "X-Expires-In", "Idempotency-Key", "X-Object"})
-        if (request.count(name) > 1) return {400, {}};
-    if (request.header("X-Trace-Id").empty()) return {400, {}};
-    if (c.effect == Effect::Guarded && request.header("Idempotency-Key").empty()) return {400, {}};
-    call.tenant = index_of(names_.tenants, request.header("X-Customer"));
+        if (request.count(name) > 1) return wrong(400);
+    if (request.header("X-Trace-Id").empty()) return wrong(400);
+    if (c.effect == Effect::Guarded && request.header("Idempotency-Key").empty()) return wrong(400);
     call.client_repeat = request.header("X-Second-Try") == "1";
     Duration patience = c.give_up;
     if (std::string_view text = request.header("X-Expires-In"); !text.empty()) {
         auto seconds = read_number<double>(text);
-        if (!seconds || !std::isfinite(*seconds) || *seconds < 0) return {400, {}};
+        if (!seconds || !std::isfinite(*seconds) || *seconds < 0) return wrong(400);
         patience = Duration{1000 * std::min(*seconds, kPatienceMost)};
     }
     call.give_up_at = engine_.now() + patience;
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -14,6 +14,7 @@
 
 #include "config/decode.h"
 #include "engine/engine.h"
+#include "figures/figures.h"
 #include "http/message.h"
 #include "net/buffer_pool.h"
 #include "net/descriptor_budget.h"
@@ -26,8 +27,9 @@
 class Front {
 public:
     /// Throws boost::system::system_error where it cannot listen.
-    Front(boost::asio::io_context& io, BufferPool& pool, Engine& engine, const Settings& settings,
-          Names names, const boost::asio::ip::tcp::endpoint& listen, DescriptorBudget budget);
+    Front(boost::asio::io_context& io, BufferPool& pool, Engine& engine, figures::Figures& figures,
+          const Settings& settings, Names names, const boost::asio::ip::tcp::endpoint& listen,
+          DescriptorBudget budget);
 
     /// From now on each answer closes its connection; new ones are still taken.
     void drain() { draining_ = true; }
@@ -37,9 +39,10 @@
 
     BufferPool& pool() { return pool_; }
     Engine& engine() { return engine_; }
+    figures::Figures& figures() { return figures_; }
 
     /// What a request asks for. A status other than 200 answers it without the module: what the request says
-    /// of itself is wrong.
+    /// of itself is wrong. Class and tenant are told as far as they are known even then.
     struct Reading {
         int status = 200;
         Call call;
@@ -79,6 +82,7 @@
     boost::asio::io_context& io_;
     BufferPool& pool_;
     Engine& engine_;
+    figures::Figures& figures_;
     std::vector<ClassSettings> classes_;
     Names names_;
     DescriptorBudget budget_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -25,6 +25,7 @@
 #include "config/operators_file.h"
 #include "discovery/watcher.h"
 #include "engine/engine.h"
+#include "figures/figures.h"
 #include "http/front.h"
 #include "http/server_pool.h"
 #include "net/descriptor_budget.h"
@@ -72,11 +73,13 @@
     discovery::Watcher watcher(io, pool, config.names, config.settings.removal_not_binding, config.discovery,
                                [&engine](const Listing& listing) { engine.listed(listing); });
     engine.connect(servers, watcher);
-    http::Front front(io, pool, engine, config.settings, config.names, config.listen, budget);
+    figures::Figures figures(io, config.names);
+    http::Front front(io, pool, engine, figures, config.settings, config.names, config.listen, budget);
     watcher.cached(config.known);
     auto apply = [&] {
         const rewrite::Rewrites& rewrites = operators.settings.rewrites;
         front.rewrite_by(rewrites.on ? std::make_shared<const rewrite::Rewrites>(rewrites) : nullptr);
+        figures.use(operators.settings.figures);
     };
     apply();
 
@@ -91,7 +94,7 @@
                 OperatorsFile told = read_operators(operators_path, config.names);
                 watcher.move_to(fresh.discovery);
                 auto [was, is] = std::tie(operators.settings, told.settings);
-                bool rewrites_were_on = was.rewrites.on;
+                bool rewrites_were_on = was.rewrites.on, figures_were_on = was.figures.on;
                 // From the start only: a chain stays in one place.
                 if (is.audit != was.audit) log_line("audit and audit_file count from the next start");
                 is.audit = was.audit;
@@ -104,6 +107,7 @@
                     if (before != now) record("switch", "SIGHUP", feature + (now ? " on" : " off"));
                 };
                 switched(rewrites_were_on, operators.settings.rewrites.on, "rewrites");
+                switched(figures_were_on, operators.settings.figures.on, "figures");
             } catch (const std::exception& bad) {
                 log_line("configuration kept: %s", bad.what());
                 record("reload", "SIGHUP", std::string("refused: ") + bad.what());
@@ -134,6 +138,7 @@
     log_line("%s serves", config.name.c_str());
     record("start", audit::user(), rev() + ", pid " + std::to_string(getpid()));
     io.run();
+    figures.flush();
 }
 
 int verify(const std::string& path) {
--- a/tests/play.cpp
+++ b/tests/play.cpp
@@ -6,6 +6,8 @@
 //   {N*TEXT}: TEXT N times) list C JSON            an answer 200 with this body eof C   close C   reset C signal
 //   TERM     in TEXT / out TEXT: standard streams     reload: writes config.json anew and sends SIGHUP
 //   conf [TEXT]   adds a line to the operators' file $tmp/conf, or empties it    args TEXT: arguments to start with
+//   udp C         a collector at $C, the same place again after a close; behind each datagram it has a line "="
+//   err* TEXT     passes over what comes before it         shell TEXT     runs a command, which must succeed
 // $tmp is a folder of the play's own. Listeners are a, b and d (discovery). $a, $b, $d and $n stand for their addresses and the program's own.
 // Waits are for events alone; the one time limit there is ends a play that hangs.
 #include <arpa/inet.h>
@@ -23,6 +25,7 @@
 #include <iostream>
 #include <iterator>
 #include <map>
+#include <set>
 #include <sstream>
 #include <string>
 
@@ -35,6 +38,7 @@
 std::map<std::string, std::string> names;  // $a and its like
 std::map<std::string, int> listeners, peers;
 std::map<int, std::string> unread;
+std::set<int> collectors;
 std::string config, directory, arguments;
 pid_t child = -1;
 int to_child = -1, from_child = -1, errors = -1;
@@ -75,11 +79,13 @@
     return at;
 }
 
-int listen_on(const std::string& name) {
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in at = loopback(0);
+int listen_on(const std::string& name, int type) {
+    int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+    const std::string& known = names[name];
+    sockaddr_in at = loopback(known.empty() ? 0 : std::atoi(known.c_str() + known.find(':') + 1));
     socklen_t size = sizeof at;
-    assert(bind(fd, reinterpret_cast<sockaddr*>(&at), size) == 0 && listen(fd, 64) == 0);
+    assert(bind(fd, reinterpret_cast<sockaddr*>(&at), size) == 0);
+    assert(type == SOCK_DGRAM || listen(fd, 64) == 0);
     getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
     char text[INET_ADDRSTRLEN];
     inet_ntop(AF_INET, &at.sin_addr, text, sizeof text);
@@ -124,6 +130,7 @@
     char bytes[65536];
     ssize_t got = read(fd, bytes, sizeof bytes);
     if (got > 0) unread[fd].append(bytes, std::size_t(got));
+    if (got > 0 && collectors.count(fd)) unread[fd] += "=\n";
     return got > 0;
 }
 
@@ -179,6 +186,8 @@
             peers[name] = connect_client();
         } else if (word == "accept") {
             peers[name] = accept4(listeners.at(other), nullptr, nullptr, SOCK_CLOEXEC);
+        } else if (word == "udp") {
+            collectors.insert(peers[name] = listen_on(name, SOCK_DGRAM));
         } else if (word == "in") {
             text += "\n";
             assert(write(to_child, text.data(), text.size()) == ssize_t(text.size()));
@@ -186,6 +195,12 @@
             expect(from_child, text + "\n");
         } else if (word == "err") {
             expect(errors, text + "\n");
+        } else if (word == "err*") {
+            while (unread[errors].find(text) == std::string::npos)
+                if (!more(errors)) fail("never came: " + text);
+            unread[errors].erase(0, unread[errors].find(text) + text.size());
+        } else if (word == "shell") {
+            if (std::system(text.c_str()) != 0) fail("did not succeed");
         } else if (word == "signal") {
             kill(child, name == "TERM" ? SIGTERM : SIGKILL);
         } else if (word == "reload") {
@@ -206,6 +221,7 @@
             int fd = peers.at(name);
             if (word == "reset") setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
             unread.erase(fd);
+            collectors.erase(fd);
             close(fd);
         } else if ((word.back() == '>' && peers.count(who)) || word == "list") {
             if (word == "list") {
@@ -236,8 +252,9 @@
     config.assign(std::istreambuf_iterator<char>(base), {});
     char made[] = "/tmp/play.XXXXXX";
     names["tmp"] = directory = mkdtemp(made);
-    for (const char* name : {"a", "b", "d"}) listeners[name] = listen_on(name);
-    close(listen_on("n"));  // the program's: free, and nobody else uses this address
+    for (const char* name : {"a", "b", "d"}) listeners[name] = listen_on(name, SOCK_STREAM);
+    close(listen_on("n", SOCK_STREAM));  // the program's: free, and nobody else uses this address
+    std::signal(SIGALRM, [](int) { fail("hangs"); });
     alarm(60);
     play(script, given[1]);
     if (child > 0) kill(child, SIGKILL);
