Name every fault of both files and every value in force with 'ochrehub check'

The readers of GW_CONFIG and of the operators' file collect their faults in a report: start and SIGHUP still tell the first, in the words and order they had (the earlier exchanges pass unchanged), check tells all and then what is in force with its source: default, file line, GW_CONFIG key or the variable before it.

Readings: a value with a fault is not in force, so its default is shown; what has neither value nor default is 'unset (no default)'; without GW_CONFIG any class that a rule names is taken for known. After 100 faults the rest is not listed: a list may go wrong in every entry.

--- a/src/config/decode.cpp
+++ b/src/config/decode.cpp
@@ -7,13 +7,13 @@
     return it == names.end() ? kNone : int(it - names.begin());
 }
 
-Settings parse_settings(const std::vector<std::string_view>& pairs, Names& names) {
-    PairReader in(pairs);
+Settings parse_settings(const std::vector<std::string_view>& pairs, Names& names, Report* report) {
+    PairReader in(pairs, report, "settings.");
     Settings set;
     names.zones = in.list("Azs");
     names.kinds = in.list("Flavors");
     set.balancers = std::max(1, int(in.real("Balancers")));
-    set.zone = index_of(names.zones, in.find("Locality").value_or(""));
+    set.zone = index_of(names.zones, in.text_or("Locality", ""));
     int classes = int(in.real("Services.count"));
     for (int i = 0; i < classes; ++i) {
         std::string at = "Services." + std::to_string(i) + ".";
@@ -50,7 +50,7 @@
     set.max_retry_after = Duration{in.real_or("Limits.MaxRetryAfter", 0)};
     // Guards against looks that learn nothing: what a look is for is how many requests a server holds.
     std::vector<std::string> columns = in.list("LoadReport.Columns");
-    set.probes_report_load = in.find("LoadReport.How").value_or("none") != "none" &&
+    set.probes_report_load = in.text_or("LoadReport.How", "none") != "none" &&
                              std::find(columns.begin(), columns.end(), "inflight") != columns.end();
     set.removal_not_binding = in.flag_or("Safety.RemovalNotBinding", false);
     set.connect_timeout = Duration{in.real_or("Limits.ConnectTimeout", 1000)};
--- a/src/config/node_config.cpp
+++ b/src/config/node_config.cpp
@@ -30,57 +30,80 @@
     }
 }
 
-boost::asio::ip::tcp::endpoint address(const std::string& key, const std::string& text) {
-    auto found = parse_address(text);
-    if (!found) throw ConfigError(key + ": not an address: '" + text + "'");
-    return *found;
-}
-
-std::uint64_t read_seed(const std::string& text) {
-    if (text.empty()) {
-        std::random_device random;
-        return std::uint64_t{random()} << 32 | random();
-    }
+std::uint64_t read_seed(const std::string& text, const PairReader& file) {
     std::uint64_t seed = 0;
     auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
     if (error != std::errc{} || end != text.data() + text.size())
-        throw ConfigError("seed: not a hexadecimal number: '" + text + "'");
+        return file.wrong("seed: not a hexadecimal number: '" + text + "'", std::uint64_t{0});
     return seed;
 }
 
+std::uint64_t draw_seed() {
+    std::random_device random;
+    return std::uint64_t{random()} << 32 | random();
+}
+
 }  // namespace
 
 NodeConfig read_node_config(Occasion occasion) {
+    Report report;
+    NodeConfig config = read_node_config(occasion, report);
+    if (!report.faults.empty()) throw ConfigError(report.faults.front());
+    return config;
+}
+
+NodeConfig read_node_config(Occasion occasion, Report& report) {
     std::string path = environment("GW_CONFIG");
     if (path.empty()) throw ConfigError("GW_CONFIG: not set");
     std::vector<std::string> pairs = read_file(path);
-    PairReader file(pairs_below(pairs, ""));
-    auto told = [&](const char* variable, const std::string& key) {  // the environment goes first
-        std::string value = environment(variable);
-        return value.empty() ? std::string(file.find(key).value_or("")) : value;
+    PairReader file(pairs_below(pairs, ""), &report);
+    auto told = [&](const char* variable, const std::string& key, bool file_first) {
+        std::string outside = environment(variable), inside(file.find(key).value_or(""));
+        bool from_file = !inside.empty() && (file_first || outside.empty());
+        std::string value = from_file ? inside : outside;
+        if (from_file || value.empty())
+            file.note(key, value, from_file);
+        else
+            report.values.push_back({key, value, variable});
+        return value;
+    };
+    auto address = [&](const char* variable, const std::string& key, bool file_first) {
+        std::string text = told(variable, key, file_first);
+        auto found = parse_address(text);
+        return found ? *found
+                     : file.wrong(key + ": not an address: '" + text + "'", boost::asio::ip::tcp::endpoint());
+    };
+    auto at_least = [&](std::size_t& into, const std::string& key, std::size_t least) {
+        bool given = file.find(key).has_value();
+        if (!given) return file.note(key, std::to_string(into), false);
+        std::size_t faults = report.faults.size();
+        into = file.whole<std::size_t>(key);
+        if (into < least && report.faults.size() == faults) file.wrong("setting " + key + " is too small", 0);
     };
     NodeConfig config;
-    config.name = told("GW_NAME", "name");
-    config.listen = address("listen", told("GW_LISTEN", "listen"));
-    std::string in_file(file.find("discovery").value_or(""));
-    bool file_first = occasion == Occasion::Reload && !in_file.empty();
-    config.discovery = address("discovery", file_first ? in_file : told("GW_DISCOVERY", "discovery"));
-    config.seed = read_seed(std::string(file.find("seed").value_or("")));
     try {
-        if (file.find("limits.sockets")) config.sockets = file.whole<std::size_t>("limits.sockets");
-        if (config.sockets < kSocketsLeast) throw std::runtime_error("setting limits.sockets is too small");
-        if (file.find("limits.memory_mb")) config.memory_mb = file.whole<std::size_t>("limits.memory_mb");
-        if (config.memory_mb < kMemoryLeast) throw std::runtime_error("setting limits.memory_mb is too small");
-        config.settings = parse_settings(pairs_below(pairs, "settings."), config.names);
-    } catch (const std::runtime_error& error) {
-        throw ConfigError(error.what());
+        // The environment goes first.
+        config.name = told("GW_NAME", "name", false);
+        config.listen = address("GW_LISTEN", "listen", false);
+        config.discovery = address("GW_DISCOVERY", "discovery", occasion == Occasion::Reload);
+        std::string seed(file.find("seed").value_or(""));
+        config.seed = seed.empty() ? draw_seed() : read_seed(seed, file);
+        file.note("seed", seed.empty() ? "drawn" : seed, !seed.empty());
+        at_least(config.sockets, "limits.sockets", kSocketsLeast);
+        at_least(config.memory_mb, "limits.memory_mb", kMemoryLeast);
+        config.settings = parse_settings(pairs_below(pairs, "settings."), config.names, &report);
+    } catch (const std::runtime_error& error) {  // there are too many to go on
+        report.faults.emplace_back(error.what());
     }
     std::vector<std::string_view> known = pairs_below(pairs, "known.");
+    Report of_known;  // of its values the number is enough
     try {
-        if (!known.empty()) config.known = read_server_list(known, config.names);
+        if (!known.empty()) config.known = read_server_list(known, config.names, &of_known);
     } catch (const std::runtime_error& error) {
-        throw ConfigError(std::string("known: ") + error.what());
+        of_known.faults.emplace_back(error.what());
     }
+    for (const std::string& fault : of_known.faults) report.faults.push_back("known: " + fault);
+    file.note("known", std::to_string(config.known.members.size()) + " servers", !known.empty());
     return config;
 }
 
--- a/src/config/node_config.h
+++ b/src/config/node_config.h
@@ -34,5 +34,8 @@
 
 /// From the environment's GW_* and the file that GW_CONFIG names, all of it checked. Throws ConfigError.
 NodeConfig read_node_config(Occasion occasion);
+/// The same, with all faults and all values in force reported. Throws ConfigError where there is no file to
+/// read.
+NodeConfig read_node_config(Occasion occasion, Report& report);
 
 }  // namespace ochrehub
--- a/src/config/operators_file.cpp
+++ b/src/config/operators_file.cpp
@@ -188,8 +188,10 @@
             return wrong("is given a second time: line " + std::to_string(given.front().line) + " has \"" +
                          std::string(name) + " " + given.front().value + "\"");
         given.push_back({number, std::string(value)});
-        if (std::string fault = setting->take({file_.settings, classes_, value}); !fault.empty())
+        if (std::string fault = setting->take({file_.settings, classes_, value}); !fault.empty()) {
+            given.back().sound = false;
             wrong(fault);
+        }
     }
 
     OperatorsFile finish() {
@@ -200,7 +202,8 @@
         // Forwarded is a part of the rewrites: without them there is none.
         bool no_forwarded = !file_.settings.rewrites.on;
         for (const Setting& setting : kSettings) {
-            const std::vector<Given>& given = given_[&setting];
+            std::vector<Given>& given = given_[&setting];
+            std::erase_if(given, [](const Given& one) { return !one.sound; });
             for (const Given& one : given)
                 file_.values.push_back({std::string(setting.name), one.value, one.line});
             if (!given.empty() || setting.repeats) continue;
@@ -217,6 +220,7 @@
     struct Given {
         int line;
         std::string value;
+        bool sound = true;
     };
 
     /// Any setting of a feature turns it on, unless its switch says otherwise.
--- a/src/config/server_list.cpp
+++ b/src/config/server_list.cpp
@@ -2,8 +2,8 @@
 
 namespace ochrehub {
 
-ServerList read_server_list(const std::vector<std::string_view>& pairs, const Names& names) {
-    PairReader in(pairs);
+ServerList read_server_list(const std::vector<std::string_view>& pairs, const Names& names, Report* report) {
+    PairReader in(pairs, report);
     ServerList list;
     list.revision = in.whole<std::uint64_t>("revision");
     list.complete = in.flag_or("complete", false);
--- a/src/config/server_list.h
+++ b/src/config/server_list.h
@@ -19,7 +19,8 @@
     std::vector<Member> members;
 };
 
-/// All of it or nothing: throws std::runtime_error naming what is wrong.
-ServerList read_server_list(const std::vector<std::string_view>& pairs, const Names& names);
+/// All of it or nothing: throws std::runtime_error naming what is wrong, or reports all that is.
+ServerList read_server_list(const std::vector<std::string_view>& pairs, const Names& names,
+                            Report* report = nullptr);
 
 }  // namespace ochrehub
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -21,6 +21,7 @@
 
 #include "audit/chain.h"
 #include "audit/journal.h"
+#include "check/check.h"
 #include "config/node_config.h"
 #include "config/operators_file.h"
 #include "discovery/watcher.h"
@@ -171,7 +172,8 @@
             return 0;
         }
         if (are(3, "audit") && arguments[1] == "verify") return verify(std::string(arguments[2]));
-        std::fputs("usage: ochrehub [-f FILE] | audit verify FILE\n", stderr);
+        if (are(2, "check")) return check(std::string(arguments[1]));
+        std::fputs("usage: ochrehub [-f FILE] | check FILE | audit verify FILE\n", stderr);
         return 2;
     } catch (const ConfigError& error) {
         std::fprintf(stderr, "%s\n", error.what());
--- a/tests/play.cpp
+++ b/tests/play.cpp
@@ -3,13 +3,15 @@
 //   start [SHELL]          runs the program, SHELL first   exit CODE   waits for its end; err TEXT: its first
 //   line connect C              a client's connection          accept S L  one that the program made to
 //   listener L C> TEXT   C< TEXT      bytes sent, bytes that must come ('*': anything but a line's end;
-//   {N*TEXT}: TEXT N times) list C JSON            an answer 200 with this body eof C   close C   reset C signal
-//   TERM     in TEXT / out TEXT: standard streams     reload: writes config.json anew and sends SIGHUP
-//   conf [TEXT]   adds a line to the operators' file $tmp/conf, or empties it    args TEXT: arguments to start with
-//   udp C         a collector at $C, the same place again after a close; behind each datagram it has a line "="
-//   err* TEXT     passes over what comes before it         shell TEXT     runs a command, which must succeed
-// $tmp is a folder of the play's own. Listeners are a, b and d (discovery). $a, $b, $d and $n stand for their addresses and the program's own.
-// Waits are for events alone; the one time limit there is ends a play that hangs.
+//   {N*TEXT}: TEXT N times) list C JSON            an answer 200 with this body eof C   close C   reset C
+//   signal TERM     in TEXT / out TEXT: standard streams     reload: writes config.json anew and sends SIGHUP
+//   conf [TEXT]   adds a line to the operators' file $tmp/conf, or empties it    args TEXT: arguments to
+//   start with udp C         a collector at $C, the same place again after a close; behind each datagram it
+//   has a line "=" err* / out* TEXT     pass over what comes before it         shell TEXT     runs a command,
+//   which must succeed
+// $tmp is a folder of the play's own. Listeners are a, b and d (discovery). $a, $b, $d and $n stand for their
+// addresses and the program's own. Waits are for events alone; the one time limit there is ends a play that
+// hangs.
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <poll.h>
@@ -157,6 +159,12 @@
     unread[fd].erase(0, std::size_t(taken));
 }
 
+void pass_over(int fd, const std::string& text) {
+    while (unread[fd].find(text) == std::string::npos)
+        if (!more(fd)) fail("never came: " + text);
+    unread[fd].erase(0, unread[fd].find(text) + text.size());
+}
+
 void play(std::istream& script, const std::string& program) {
     for (std::string line; ++line_number, std::getline(script, line);) {
         if (line.empty() || line[0] == '#') continue;
@@ -195,10 +203,8 @@
             expect(from_child, text + "\n");
         } else if (word == "err") {
             expect(errors, text + "\n");
-        } else if (word == "err*") {
-            while (unread[errors].find(text) == std::string::npos)
-                if (!more(errors)) fail("never came: " + text);
-            unread[errors].erase(0, unread[errors].find(text) + text.size());
+        } else if (word == "err*" || word == "out*") {
+            pass_over(word == "err*" ? errors : from_child, text);
         } else if (word == "shell") {
             if (std::system(text.c_str()) != 0) fail("did not succeed");
         } else if (word == "signal") {
