--- a/src/http/server_pool.cpp
+++ b/src/http/server_pool.cpp
@@ -182,15 +182,16 @@
         --connections_;
         events_.probe_ended(to, took(), written ? Outcome::Timeout : Outcome::ConnectFailed, {});
     });
-    connection->exchange("GET /healthz HTTP/1.1\r\nHost: " + std::to_string(to) + ".server\r\n\r\n", nullptr,
-                         [this, to, took, timer](const ConnectionPtr& used, Connection::Result result) {
-                             if (timer->cancel() == 0) return;  // its time ran out in this same moment
-                             give_back(to, used, result);
-                             Outcome outcome = outcome_of(result);
-                             LoadReport report;
-                             if (result.answer) report = report_of(*result.answer);
-                             events_.probe_ended(to, took(), outcome, report);
-                         });
+    connection->exchange(
+        "GET /healthz HTTP/1.1\r\nHost: " + std::to_string(to) + ".server\r\n\r\n", nullptr,
+        [this, to, took, timer](const ConnectionPtr& used, const Connection::Result& result) {
+            if (timer->cancel() == 0) return;  // its time ran out in this same moment
+            give_back(to, used, result);
+            Outcome outcome = outcome_of(result);
+            LoadReport report;
+            if (result.answer) report = report_of(*result.answer);
+            events_.probe_ended(to, took(), outcome, report);
+        });
 }
 
 void ServerPool::close_idle(ServerId id) {
