Leave most of a pipe on standard error to the log, and tell an edited line from a cut one

Two faults found in review. Figures filled a pipe on standard error whose reader stood still (src/figures/outlet.cpp, Descriptor::write asked poll alone), and the next line of the log, which waits for room, would then have held up the node: it now goes on only while a quarter of the pipe is unread. A line of the audit whose closing quote was edited away read as cut, so as truncated where it was the last (src/audit/chain.cpp, Line::quoted): a line that still ends with its hash was not cut.

--- a/src/audit/chain.cpp
+++ b/src/audit/chain.cpp
@@ -12,7 +12,7 @@
 namespace ochrehub::audit {
 namespace {
 
-constexpr std::size_t kDetailMost = 1000;  // a whole line fits into one write to a pipe
+constexpr std::size_t kDetailMost = 900;  // a whole line fits into one write to a pipe
 
 std::string hash_of(std::string_view text) {
     std::array<std::uint8_t, SHA256_DIGEST_SIZE> digest;
@@ -152,6 +152,7 @@
         if (line.shape == Shape::Cut) {
             bool known = line.seq > 0, fits = next || line.seq == 1;
             if (known && !fits) return tampered(number, "seq does not follow");
+            if (has_hash(text)) return tampered(number, "no line of an audit");
             cut_ = number;
             return;
         }
@@ -161,6 +162,12 @@
         hash_ = line.hash;
         ++finding_.lines;
     }
+    /// It has its end: if it still reads as cut, a quote was taken away.
+    static bool has_hash(std::string_view text) {
+        if (text.size() < 70) return false;
+        std::string_view hash = text.substr(text.size() - 64);
+        return text.substr(text.size() - 70, 6) == " hash=" && std::all_of(hash.begin(), hash.end(), is_hex);
+    }
     void tampered(std::size_t number, const char* why) {
         finding_.broken = number;
         finding_.what = std::string("tampered: ") + why;
--- a/src/check/check.cpp
+++ b/src/check/check.cpp
@@ -25,7 +25,8 @@
         std::string source = v.line > 0        ? "file line " + std::to_string(v.line)
                              : v.value.empty() ? "no default"
                                                : "default";
-        std::printf("%s %s (%s)\n", v.name.c_str(), v.value.empty() ? "unset" : v.value.c_str(), source.c_str());
+        std::printf("%s %s (%s)\n", v.name.c_str(), v.value.empty() ? "unset" : v.value.c_str(),
+                    source.c_str());
     }
     for (const Report::Value& v : node.values)
         std::printf("%s %s (%s)\n", v.name.c_str(), v.value.empty() ? "unset" : v.value.c_str(),
--- a/src/check/check.h
+++ b/src/check/check.h
@@ -5,7 +5,7 @@
 
 namespace ochrehub {
 
-/// Prints to standard output. Opens no socket and no file but those two. Returns the exit status: 1 with faults.
+/// Prints to standard output. Opens no socket and no file but those two. Returns the exit status.
 int check(const std::string& path);
 
 }  // namespace ochrehub
--- a/src/figures/outlet.cpp
+++ b/src/figures/outlet.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -60,7 +61,10 @@
     // it has some takes PIPE_BUF bytes.
     ssize_t write(const char* bytes, std::size_t size) const {
         pollfd room{fd_, POLLOUT, 0};
-        if (poll(&room, 1, 0) == 0) {
+        int unread = 0, holds = path_.empty() ? fcntl(fd_, F_GETPIPE_SZ) : -1;
+        bool logs_room =
+            holds > 0 && ioctl(fd_, FIONREAD, &unread) == 0 && unread > 0 && unread + int(size) > holds / 4;
+        if (logs_room || poll(&room, 1, 0) == 0) {
             errno = EAGAIN;
             return -1;
         }
--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -232,6 +232,9 @@
     outgoing_.clear();
     if (figured_) front_.figures().answered(*figured_, status_);
     figured_.reset();
+    // A connection that stands idle keeps neither rules that have been replaced nor a long path.
+    rewrites_.reset();
+    std::string().swap(path_);
     if (close_after_) return linger();
     parser_.emplace(front_.pool());
     begun_ = told_to_continue_ = false;
--- a/tests/figures.cpp
+++ b/tests/figures.cpp
@@ -2,6 +2,7 @@
 #include "figures/figures.h"
 
 #include <fcntl.h>
+#include <sys/ioctl.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -107,4 +108,13 @@
     figures.flush();
     assert(count(drained(reader), "ochrehub.figures_dropped:2|c\n") == 1);
     std::filesystem::remove_all(directory);
+
+    // Of a pipe on standard error, that nobody reads, most is left to the log.
+    int ends[2], unread = 0, kept = dup(2);
+    assert(pipe(ends) == 0 && dup2(ends[1], 2) == 2);
+    told.to = Told::To::Stderr;
+    figures.use(told);
+    play(2000, 0);
+    assert(ioctl(ends[0], FIONREAD, &unread) == 0 && unread > 0 && unread <= 65536 / 4);
+    dup2(kept, 2);
 }
