--- a/src/discovery/watcher.cpp
+++ b/src/discovery/watcher.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kWait{5000};  // what a watch asks for: a silent discovery shows after it
-constexpr std::chrono::milliseconds kLate{1500};  // how much later an answer may come
+constexpr std::chrono::milliseconds kLate{2500};  // how much later an answer may come: discovery queues calls for 2 s
 constexpr Duration kConnectTimeout{1000};
 
 }  // namespace
@@ -35,6 +35,12 @@
 void Watcher::cached(const ServerList& known) {
     Listing listing = listing_of(known);
     listing.update.kind = ListKind::Cached;
+    // The watch starts from there: it costs discovery the changes since, where the whole list and then a watch are
+    // two calls, one of every line. Guards against a fleet that starts together and fills discovery's queue.
+    if (known.complete && !known.members.empty()) {
+        revision_ = known.revision;
+        has_list_ = true;
+    }
     listed_(listing);
 }
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -41,8 +41,9 @@
 constexpr double kYieldMargin = 0.25;    // requests less that make the turn yield: reports are noisy
 constexpr Duration kLookFresh{6};        // a report this young is as good as a look
 constexpr Duration kLookWait{6};         // a server that answers a look later than this is standing still
-constexpr Duration kRewatchMin{250};     // first wait after a failed list call; doubles, with jitter
-constexpr Duration kRewatchMax{1200};    // ... up to this: in a release a list is old within a second
+constexpr Duration kRewatchMin{250};   // first wait after a failed list call; doubles, with jitter, up to ...
+constexpr Duration kRewatchMax{1200};  // ... this: in a release a list is old within a second
+constexpr Duration kListEach{50};      // discovery's time for one gateway's call: all of them wait for it in turn
 constexpr Duration kForgetAfter{60000};  // a server that the list lacks for this is forgotten
 constexpr double kColdMargin = 0.75;     // part of a cold server's budget that is used: handshakes, chance
 constexpr double kColdReserve = 0.4;     // ... less so many times the root of the number sent, in sends
@@ -208,12 +209,13 @@
 private:
     // ---- Registry and drains
     void on(const ListUpdate& update) {
-        if (!watching_ && set_.must_ask) {
-            watching_ = true;
-            emit(WatchList{});
-        }
+        // Guards against gateways that start together: calls that wait too long in discovery's queue fail, are
+        // work lost for all, and make it longer.
+        if (!std::exchange(watching_, true) && set_.must_ask)
+            start_timer(TimerKind::Rewatch, fleet_calls() * uniform(), 0, ++rewatch_epoch_);
         if (update.kind == ListKind::Failed) {  // the old list stays; ask again, each gateway at its own time
-            Duration wait = std::min(kRewatchMax, kRewatchMin * std::pow(2, rewatch_tries_++));
+            Duration first = std::max(kRewatchMin, fleet_calls());
+            Duration wait = std::min(std::max(kRewatchMax, 2 * first), first * std::pow(2, rewatch_tries_++));
             if (set_.must_ask) start_timer(TimerKind::Rewatch, wait * (0.5 + uniform()), 0, ++rewatch_epoch_);
             return;
         }
@@ -225,6 +227,8 @@
         subset_stale_ = true;
     }
 
+    Duration fleet_calls() const { return kListEach * set_.balancers; }  // time for a list call of each gateway
+
     // Where servers are replaced by new ones for good, what is known of them must not grow for good.
     void forget_gone() {
         for (std::size_t i = 0; i < servers_.size(); ++i) {
