--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -43,9 +43,10 @@
 constexpr Duration kLookWait{6};         // a server that answers a look later than this is standing still
 constexpr Duration kRewatchMin{250};   // first wait after a failed list call; doubles, with jitter, up to ...
 constexpr Duration kRewatchMax{1200};  // ... this: in a release a list is old within a second
-constexpr Duration kListEach{50};      // discovery's time for one gateway's call: all of them wait for it in turn
+constexpr Duration kListEach{50};      // discovery's time for one gateway's call: all wait in turn
 constexpr Duration kForgetAfter{60000};  // a server that the list lacks for this is forgotten
 constexpr double kColdMargin = 0.75;     // part of a cold server's budget that is used: handshakes, chance
+constexpr double kColdSenders = 2;       // gateways that use a cold server, times the mean number
 constexpr double kColdReserve = 0.4;     // ... less so many times the root of the number sent, in sends
 constexpr Duration kServedFade{60000};   // how long the most that this gateway got served is believed
 constexpr double kPaceGain = 0.15;       // weight of one answer in a server's pace
@@ -209,14 +210,12 @@
 private:
     // ---- Registry and drains
     void on(const ListUpdate& update) {
-        // Guards against gateways that start together: calls that wait too long in discovery's queue fail, are
-        // work lost for all, and make it longer.
         if (!std::exchange(watching_, true) && set_.must_ask)
             start_timer(TimerKind::Rewatch, fleet_calls() * uniform(), 0, ++rewatch_epoch_);
         if (update.kind == ListKind::Failed) {  // the old list stays; ask again, each gateway at its own time
-            Duration first = std::max(kRewatchMin, fleet_calls());
-            Duration wait = std::min(std::max(kRewatchMax, 2 * first), first * std::pow(2, rewatch_tries_++));
-            if (set_.must_ask) start_timer(TimerKind::Rewatch, wait * (0.5 + uniform()), 0, ++rewatch_epoch_);
+            Duration first = std::max(kRewatchMin, fleet_calls()), most = std::max(kRewatchMax, 2 * first);
+            Duration wait = std::min(most, first * std::pow(2, rewatch_tries_++)) * (0.5 + uniform());
+            if (set_.must_ask) start_timer(TimerKind::Rewatch, wait, 0, ++rewatch_epoch_);
             return;
         }
         if (update.kind != ListKind::Cached) rewatch_tries_ = 0;
@@ -227,7 +226,8 @@
         subset_stale_ = true;
     }
 
-    Duration fleet_calls() const { return kListEach * set_.balancers; }  // time for a list call of each gateway
+    // Guards against gateways that call together: a call that waits too long is work lost for all of them.
+    Duration fleet_calls() const { return kListEach * set_.balancers; }
 
     // Where servers are replaced by new ones for good, what is known of them must not grow for good.
     void forget_gone() {
@@ -473,10 +473,11 @@
                double(class_state_.size());
     }
 
-    // Rule 4, kept by each gateway alone: its even part of what a cold server stands, assuming that every
-    // peer sends as much. A send counts as its class's usual time: few heavy ones are as much as many light
-    // ones. Where that is under one send a span, a seeded draw says for each span whether this gateway is one
-    // of the few that send. The first span ends at a drawn time: those told together do not send together.
+    // Rule 4, kept by each gateway alone: its even part of what a cold server stands, assuming that as many
+    // peers send as much as may use it: more than the mean, since subsets are drawn and widen. A send counts
+    // as its class's usual time: few heavy ones are as much as many light ones. Under one send a span, a
+    // seeded draw says for each span whether this gateway is one of the few that send. The first span ends at
+    // a drawn time: those told together do not send together.
     bool cold_room(Server& s, double usual) {
         if (share(s) >= 1) return true;
         std::erase_if(s.cold_sends, [this](const auto& a) { return a.first <= now_ - set_.tip_after; });
@@ -486,7 +487,7 @@
             s.cold_draw = uniform();
         }
         double budget = kColdMargin * set_.overload_factor * share(s) * carried(s) * set_.tip_after.count() /
-                        1000 / set_.balancers;
+                        1000 / std::min(double(set_.balancers), kColdSenders * sharers());
         double sent = 0;
         for (const auto& [at, its] : s.cold_sends) sent += its;
         budget *= std::min(1.0, fleet_pace() / pace(s));  // its own answers say if it is a slow one
@@ -814,9 +815,7 @@
         }
         s.used_at = now_;
         r.attempts.push_back({i, now_, Fate::Open, false, false, idled, int(held(s))});
-        ++r.open;
-        ++s.own;
-        ++s.refs;
+        ++r.open, ++s.own, ++s.refs;
         s.last_send = now_;
         if (share(s) < 1) s.cold_sends.emplace_back(now_, state(r).floor_ms);
         emit(Forward{r.id, s.id, set_.cancel ? r.useful_until - now_ : Duration{0}});
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -573,6 +573,46 @@
 
 INSTANTIATE_TEST_SUITE_P(Fleets, ColdHost, ::testing::Values(1, 3, 1000));
 
+// In a large fleet few gateways use a server. A hundredth of a cold host's budget for each of a hundred left it
+// almost idle until it counted as warm, while the others queued.
+TEST(ColdStart, IsNotLeftIdleWhereFewOfManyGatewaysUseIt) {
+    Settings set = make_settings();
+    set.balancers = 100;
+    set.price_probe = 0.08;
+    set.cold_time = Duration{8000};
+    std::vector<ListEntry> fleet;
+    for (ServerId id = 1; id <= 60; ++id) fleet.push_back(entry(id));
+    std::vector<double> sends;  // to the first twenty, which start together
+    for (int k = 0; k < 100; ++k) {
+        Gateway g(set, std::uint64_t(k) * 7919 + 1);
+        g.list(0, fleet);
+        RequestId id = 0;
+        for (double t = 10.0 + k / 2.0; t < 9000; t += 60) {
+            if (t > 1010 && t < 1071) {
+                std::vector<ListEntry> fresh(fleet.begin(), fleet.begin() + 20);
+                for (ListEntry& one : fresh) one.last_start = at(1000);
+                g.list(t - 1, fresh, ListKind::Delta);
+            }
+            g.run_probed(t, [](ServerId) { return Outcome::Ok; });
+            auto to = sent_to(g.arrive(t, ++id));
+            if (!to) continue;
+            double share = *to > 20 || t < 1071 ? 1 : 0.3 + 0.7 * (t - 1000) / 8000;
+            if (*to <= 20 && t >= 1071) sends.push_back(t);
+            g.ok(t + 5, id, *to, 50 / share);
+        }
+    }
+    std::sort(sends.begin(), sends.end());
+    // Twenty hosts, each of 50 ms a send: 20 a second when warm. A third of what they could carry at the least, twice
+    // at the most.
+    for (double from = 2500; from + 1500 <= 8500; from += 1500) {
+        auto in_span = std::count_if(sends.begin(), sends.end(),
+                                     [&](double t) { return t >= from && t < from + 1500; });
+        double could = 20 * 1.5 * 20 * (0.3 + 0.7 * (from - 1000) / 8000);
+        EXPECT_GE(double(in_span), could / 3) << "from " << from;
+        EXPECT_LE(double(in_span), could * 2) << "from " << from;
+    }
+}
+
 TEST(ColdStart, ARestartCountsAtOnceThoughTheHostWasJustWeighed) {
     Settings set = unprobed();
     set.balancers = 1000;
