--- a/include/ochrehub/rules.h
+++ b/include/ochrehub/rules.h
@@ -47,6 +47,7 @@
 
 struct Settings {
     int balancers = 1;
+    int me = kNone;    ///< this gateway's number among them, from 0; none: it is not told
     int zone = kNone;  ///< this gateway's own
     std::vector<ClassSettings> classes;
     std::vector<TenantSettings> tenants;
@@ -77,6 +78,7 @@
 
 struct ListEntry {
     ServerId server = 0;
+    std::uint64_t key = 0;  ///< the same number at every gateway; 0: `server` is that
     int zone = kNone;
     int kind = kNone;
     int cell = 0;
--- /dev/null
+++ b/include/ochrehub/subset.h
@@ -0,0 +1,27 @@
+// Which gateways use which servers, where each uses a few of many. All gateways of a tier work out the same from the
+// same list, by their numbers alone, and send each other nothing: so a server has as many users as any other, and each
+// user knows how many. No I/O, no clock, no state.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace ochrehub {
+
+struct Subset {
+    std::vector<int> users;  ///< of each key: how many gateways use that server
+    std::vector<char> mine;  ///< of each key: whether this gateway does
+};
+
+/// `keys`: the servers, by numbers that are the same at every gateway, in any order, each once. `me` is this gateway
+/// among `gateways`, from 0. Each gateway gets `width` servers (all, if there are fewer), each server the even
+/// number of gateways or one more; what the last gateways find left makes that one less or two more now and then. A list that changes by one server
+/// in n moves little more than one place in n. Empty where that would take too long (`gateways * width * keys` above 8
+/// million) or `me` is none of them: then each may choose for itself.
+Subset share_out(const std::vector<std::uint64_t>& keys, int gateways, int me, std::size_t width);
+
+/// A 64-bit number of all of x: bits that are alike in near numbers are not alike in these.
+std::uint64_t mixed(std::uint64_t x);
+
+}  // namespace ochrehub
--- a/lab/sim/emulated_node.cpp
+++ b/lab/sim/emulated_node.cpp
@@ -8,6 +8,7 @@
 Settings settings_of(const Day& day, NodeNo node) {
     Settings set;
     set.balancers = int(day.nodes.size());
+    set.me = int(node);
     set.zone = day.nodes[std::size_t(node)].zone;
     for (const ClassFigures& figures : day.classes) {
         ClassSettings& c = set.classes.emplace_back();
--- a/lab/sim/sim_watch.cpp
+++ b/lab/sim/sim_watch.cpp
@@ -92,6 +92,7 @@
         auto [known, fresh] = ids_.try_emplace(member.server, next_id_ + 1);
         if (fresh) ++next_id_;
         entry.server = known->second;
+        entry.key = std::uint64_t(member.server) + 1;
         entry.zone = figures.zone;
         entry.kind = figures.kind;
         entry.cell = figures.cell;
--- a/src/engine/decode.cpp
+++ b/src/engine/decode.cpp
@@ -12,6 +12,7 @@
     names.zones = in.list("Azs");
     names.kinds = in.list("Flavors");
     set.balancers = std::max(1, int(in.real("Balancers")));
+    set.me = int(in.real_or("Me", kNone));
     set.zone = index_of(names.zones, in.text_or("Locality", ""));
     int classes = int(in.real("Services.count"));
     for (int i = 0; i < classes; ++i) {
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1,5 +1,6 @@
 // ochrehub: every decision of the balancer. Its interface is include/ochrehub/rules.h.
 #include "ochrehub/rules.h"
+#include "ochrehub/subset.h"
 
 #include <algorithm>
 #include <cmath>
@@ -46,7 +47,7 @@
 constexpr Duration kListEach{50};      // discovery's time for one gateway's call: all wait in turn
 constexpr Duration kForgetAfter{60000};  // a server that the list lacks for this is forgotten
 constexpr double kColdMargin = 0.75;     // part of a cold server's budget that is used: handshakes, chance
-constexpr double kColdSenders = 2;       // gateways that use a cold server, times the mean number
+constexpr double kColdSenders = 1.3;    // room for lists that differ for a while, and with them the shares
 constexpr double kColdReserve = 0.4;     // ... less so many times the root of the number sent, in sends
 constexpr Duration kServedFade{60000};   // how long the most that this gateway got served is believed
 constexpr double kPaceGain = 0.15;       // weight of one answer in a server's pace
@@ -101,6 +102,8 @@
     bool was_down = false;   // a failure showed that the process was away, so it comes back cold
     std::uint64_t rank = 0;  // this gateway's own order over the servers
     bool member = false;     // of the subset in use
+    int users = 0;           // gateways that are given it; 0 where each draws its own subset
+    bool mine = true;        // this one is among them
     TimePoint answered_at = TimePoint::min();  // last success of a probe or an attempt
     bool probing = false;
     Duration probe_rest{0};     // longer than the interval where its probes are answered badly
@@ -108,17 +111,14 @@
     bool probe_open = false;    // a probe is out
     bool probe_counts = false;  // ... by interval; else a look, which says nothing on health
     std::uint64_t probe_epoch = 0;
-    TimePoint probe_sent{};
-    double turn = 0;  // current weight of the smooth weighted rotation
-    int own = 0;      // own attempts in flight
-    double foreign = 0;
-    TimePoint foreign_at{};
+    double turn = 0;           // current weight of the smooth weighted rotation
+    int own = 0;               // own attempts in flight
+    double foreign = 0;        // others', as of foreign_at
     int lies = 0;              // straight reports that this gateway's own requests contradict
     double pace = kPaceUsual;  // answer time over the class's floor, smoothed
-    TimePoint pace_at{};
-    double weight = 1;  // as of weight_at
-    TimePoint weight_at = TimePoint::min();
+    double weight = 1;         // as of weight_at
     double limit = 0;
+    TimePoint probe_sent{}, foreign_at{}, pace_at{}, weight_at = TimePoint::min();
     TimePoint limit_cut{}, last_send{}, used_at{};
     Duration last_elapsed{};
     TimePoint shut_until = TimePoint::min();  // takes no new connection
@@ -135,25 +135,19 @@
     std::size_t server = 0;
     TimePoint sent{};
     Fate fate = Fate::Open;
-    bool ended = false;
-    bool overdue = false;
+    bool ended = false, overdue = false;
     bool idled = false;  // sent on a connection that had not been used for a while
     int held = 0;        // requests that stood there when it was sent, this gateway's and reported ones
 };
 
 struct Request {
     RequestId id = 0;
-    int cls = 0;
-    int tenant = kNone;
-    bool repeat = false;
-    bool finished = false;
-    bool queued = false;
-    bool streaming = false;
+    int cls = 0, tenant = kNone;
+    bool repeat = false, finished = false, queued = false, streaming = false;
     double worth = 1;
     TimePoint arrived{}, give_up_at{}, useful_until{};
     std::vector<Attempt> attempts;
-    int open = 0;
-    int looks = 0;                       // probes sent on its behalf
+    int open = 0, looks = 0;             // attempts that are out; probes sent on its behalf
     std::optional<std::size_t> awaited;  // the server whose look it waits for
 };
 
@@ -167,8 +161,7 @@
     TimePoint at{};
     std::uint64_t order = 0;
     TimerKind kind{};
-    std::uint64_t subject = 0;
-    std::uint64_t epoch = 0;
+    std::uint64_t subject = 0, epoch = 0;
     bool operator>(const Timer& o) const { return at != o.at ? at > o.at : order > o.order; }
 };
 
@@ -240,8 +233,7 @@
             std::erase(ranked_, i);
             std::uint64_t epoch = s.probe_epoch + 1;  // timers of its probes mean nothing to the next
             s = Server{};
-            s.free = true;
-            s.probe_epoch = epoch;
+            s.free = true, s.probe_epoch = epoch;
         }
     }
 
@@ -249,8 +241,7 @@
         auto is_free = [](const Server& s) { return s.free; };
         auto found = std::find_if(servers_.begin(), servers_.end(), is_free);
         if (found == servers_.end()) found = servers_.emplace(found);
-        found->free = false;
-        found->listed_at = now_;
+        found->free = false, found->listed_at = now_;
         return std::size_t(found - servers_.begin());
     }
 
@@ -281,6 +272,7 @@
         s.seen_draining = entry.phase == Phase::Draining || (s.seen_draining && entry.phase == Phase::Gone);
         s.entry = entry;
         if (s.entry.size <= 0) s.entry.size = 1;
+        if (s.entry.key == 0) s.entry.key = s.id;
     }
 
     bool in_use(const Server& s) const {  // rule 3: nothing from the moment a drain or removal is known
@@ -312,6 +304,7 @@
             set_.price_probe / (kProbeInterval.count() / 1000 * std::max(1.0, arrivals_));
         double size = std::sqrt(kSubsetWorth / std::max(1e-9, member));
         width_ = std::max(kSubsetLeast, std::size_t(std::min(size, double(order_.size()))));
+        share_out_servers();
         for (Server& s : servers_) s.member = false;
         members_.clear();
         unhealthy_ = 0;
@@ -333,6 +326,19 @@
         }
     }
 
+    // Guards against drawn subsets: they bring two gateways to one server and thirteen to the next.
+    void share_out_servers() {
+        for (Server& s : servers_) s.users = 0, s.mine = true;
+        if (width_ >= order_.size() || zoned()) return;
+        std::vector<std::uint64_t> keys;
+        for (std::size_t i : order_) keys.push_back(mixed(servers_[i].entry.key));
+        Subset shares = share_out(keys, set_.balancers, set_.me, width_);
+        for (std::size_t k = 0; k < shares.users.size(); ++k)
+            servers_[order_[k]].users = shares.users[k], servers_[order_[k]].mine = shares.mine[k];
+        auto is_mine = [this](std::size_t i) { return servers_[i].mine; };
+        std::stable_partition(order_.begin(), order_.end(), is_mine);
+    }
+
     double sharers() const {  // gateways that use a server, if all have subsets like this one's
         return std::max(1.0, set_.balancers * double(width_) / std::max(1.0, double(order_.size())));
     }
@@ -436,8 +442,7 @@
     }
 
     void note_success(Server& s) {
-        s.failures = 0;
-        s.probe_rest = Duration{0};
+        s.failures = 0, s.probe_rest = Duration{0};
         s.answered_at = now_;
         ++s.successes;
         if (s.health == Health::Healthy) return;
@@ -450,8 +455,7 @@
     }
 
     void note_failure(Server& s, bool away) {
-        s.successes = 0;
-        s.was_down = s.was_down || away;
+        s.successes = 0, s.was_down = s.was_down || away;
         if (away) s.connected = false;
         if (++s.failures >= kFailuresToEject && s.health != Health::Unhealthy) {
             s.health = Health::Unhealthy;
@@ -479,15 +483,16 @@
     // seeded draw says for each span whether this gateway is one of the few that send. The first span ends at
     // a drawn time: those told together do not send together.
     bool cold_room(Server& s, double usual) {
-        if (share(s) >= 1) return true;
+        if (share(s) >= 1 || !s.mine) return share(s) >= 1;
         std::erase_if(s.cold_sends, [this](const auto& a) { return a.first <= now_ - set_.tip_after; });
         if (now_ >= s.cold_until) {
             s.cold_part = s.cold_until == TimePoint::min() && set_.balancers > 1 ? uniform() : 1;
             s.cold_until = now_ + s.cold_part * set_.tip_after;
             s.cold_draw = uniform();
         }
+        double senders = s.users > 0 ? s.users : 1.5 * sharers();
         double budget = kColdMargin * set_.overload_factor * share(s) * carried(s) * set_.tip_after.count() /
-                        1000 / std::min(double(set_.balancers), kColdSenders * sharers());
+                        1000 / std::min(double(set_.balancers), kColdSenders * senders);
         double sent = 0;
         for (const auto& [at, its] : s.cold_sends) sent += its;
         budget *= std::min(1.0, fleet_pace() / pace(s));  // its own answers say if it is a slow one
@@ -733,10 +738,7 @@
     void on(const RequestArrived& e) {
         const ClassSettings& c = set_.classes[std::size_t(e.class_index)];
         Request& r = requests_[e.request];
-        r.id = e.request;
-        r.cls = e.class_index;
-        r.tenant = e.tenant;
-        r.repeat = e.client_repeat;
+        r.id = e.request, r.cls = e.class_index, r.tenant = e.tenant, r.repeat = e.client_repeat;
         r.arrived = now_;
         r.give_up_at = e.give_up_at;
         Duration aim = c.aim + (e.effort ? c.aim_stretch * *e.effort : Duration{0});
@@ -1017,8 +1019,8 @@
     double fleet_pace_ = kPaceUsual, mean_gain_ = 1, idle_loss_ = 0, used_loss_ = 0, errors_ = 0,
            crossed_ = 1, mean_foreign_ = 0, arrivals_ = 0, slots_ = 0, served_ = 0, total_size_ = 1,
            retry_tokens_ = kBurst, most_served_ = 0;
-    TimePoint most_served_at_{};
-    TimePoint arrivals_at_{}, served_at_{}, crossed_at_{}, fleet_pace_at_{}, resting_until_{}, queue_due_{};
+    TimePoint most_served_at_{}, arrivals_at_{}, served_at_{}, crossed_at_{}, fleet_pace_at_{},
+        resting_until_{}, queue_due_{};
     int rewatch_tries_ = 0;
     bool watching_ = false;
 };
--- /dev/null
+++ b/src/subset/subset.cpp
@@ -0,0 +1,51 @@
+#include "ochrehub/subset.h"
+
+#include <algorithm>
+
+namespace ochrehub {
+namespace {
+
+constexpr double kWorkMost = 8e6;
+
+}  // namespace
+
+std::uint64_t mixed(std::uint64_t x) {  // SplitMix64's last step
+    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9u;
+    x = (x ^ (x >> 27)) * 0x94d049bb133111ebu;
+    return x ^ (x >> 31);
+}
+
+// Rendezvous hashing with bounded loads: the gateways in turn take those they like best of what has room. Room is the
+// even part, rounded down, until that is used up everywhere, and then one more.
+Subset share_out(const std::vector<std::uint64_t>& keys, int gateways, int me, std::size_t width) {
+    Subset out;
+    std::size_t n = keys.size();
+    width = std::min(width, n);
+    if (width == 0 || me < 0 || me >= gateways || double(gateways) * double(width) * double(n) > kWorkMost) return out;
+    std::size_t even = std::size_t(gateways) * width / n, taken = 0;
+    out.users.assign(n, 0);
+    out.mine.assign(n, 0);
+    std::vector<std::uint64_t> likes(n);
+    std::vector<char> chosen(n);
+    for (int gateway = 0; gateway < gateways; ++gateway) {
+        std::uint64_t salt = mixed(std::uint64_t(gateway) + 1);
+        for (std::size_t i = 0; i < n; ++i) likes[i] = mixed(keys[i] ^ salt);
+        std::fill(chosen.begin(), chosen.end(), 0);
+        for (std::size_t k = 0; k < width; ++k, ++taken) {
+            int room = int(taken < even * n ? even : even + 1);
+            std::size_t best = n;
+            for (std::size_t i = 0; i < n; ++i) {
+                if (chosen[i]) continue;
+                // One with room before one without, of those without the least used, of equals the one liked best.
+                int over = best == n ? 0 : std::max(out.users[i] - room + 1, 0) - std::max(out.users[best] - room + 1, 0);
+                if (best == n || over < 0 || (over == 0 && likes[i] > likes[best])) best = i;
+            }
+            chosen[best] = 1;
+            ++out.users[best];
+            if (gateway == me) out.mine[best] = 1;
+        }
+    }
+    return out;
+}
+
+}  // namespace ochrehub
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -584,6 +584,7 @@
     for (ServerId id = 1; id <= 60; ++id) fleet.push_back(entry(id));
     std::vector<double> sends;  // to the first twenty, which start together
     for (int k = 0; k < 100; ++k) {
+        set.me = k;
         Gateway g(set, std::uint64_t(k) * 7919 + 1);
         g.list(0, fleet);
         RequestId id = 0;
