--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -44,7 +44,7 @@
 constexpr Duration kLookWait{6};         // a server that answers a look later than this is standing still
 constexpr Duration kRewatchMin{250};   // first wait after a failed list call; doubles, with jitter, up to ...
 constexpr Duration kRewatchMax{1200};  // ... this: in a release a list is old within a second
-constexpr Duration kListEach{50};      // discovery's time for one gateway's call: all wait in turn
+constexpr Duration kListEach{50}, kListMost{10000};  // discovery's time for one gateway's call; for all
 constexpr Duration kForgetAfter{60000};  // a server that the list lacks for this is forgotten
 constexpr double kColdMargin = 0.75;     // part of a cold server's budget that is used: handshakes, chance
 constexpr double kColdSenders = 1.3;    // room for lists that differ for a while, and with them the shares
@@ -220,7 +220,7 @@
     }
 
     // Guards against gateways that call together: a call that waits too long is work lost for all of them.
-    Duration fleet_calls() const { return kListEach * set_.balancers; }
+    Duration fleet_calls() const { return std::min(kListEach * set_.balancers, kListMost); }
 
     // Where servers are replaced by new ones for good, what is known of them must not grow for good.
     void forget_gone() {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -1001,6 +1001,23 @@
     }
 }
 
+// However many gateways there are, each asks before a list that it does not have is held against it.
+TEST(Registry, AsksWithinSecondsInAnyFleet) {
+    for (int gateways : {0, 1, 3, 100, 10'000, 1'000'000}) {
+        Settings set = unprobed();
+        set.must_ask = true;
+        set.balancers = std::max(1, gateways);
+        set.me = set.balancers - 1;
+        Gateway g(set);
+        g.list(0, {entry(1)}, ListKind::Cached);
+        EXPECT_EQ(all_of<WatchList>(g.run_to(10'000)).size(), 1u) << gateways;
+        for (double failed : {10'001.0, 50'001.0, 100'001.0}) {
+            g.list(failed, {}, ListKind::Failed);
+            EXPECT_EQ(all_of<WatchList>(g.run_to(failed + 30'000)).size(), 1u) << gateways;
+        }
+    }
+}
+
 // Where servers are replaced for good, what is known of them does not grow for good.
 // In a release a list is old within a second: a gateway whose calls fail for a while must not sit out the rest of it.
 TEST(Registry, AsksAgainSoonHoweverOftenItsCallsFailed) {
