Share servers out by a width that all gateways know

Found on reading the change again: share_out needs one width at all gateways, and choose_members() gave it each one's own, which follows its arrivals: 3 at its start, 3 to 5 later, 8 with the load of a node that was killed. So each worked out other shares than its neighbour, from second to second: of 100 gateways with widths of 3 to 5 a server got 4 to 9, where the count that divides a cold server's budget said 6 or 7.

The width that is shared out by now comes from the tenants' quotas, which all are told; how many of its servers, and which further ones, a gateway uses still follows its arrivals. Where servers that the list calls gone may be used, each draws, or one that nothing backs would come first again. A comment on cold budgets said what was no longer so.

Tried and put back: a round for each place, so that a wider subset holds the narrower one.

ColdStart.GatewaysOfAnyLoadShareOutTheFleetAlike fails without it.

--- a/include/ochrehub/subset.h
+++ b/include/ochrehub/subset.h
@@ -15,9 +15,9 @@
 };
 
 /// `keys`: the servers, by numbers that are the same at every gateway, in any order, each once. `me` is this gateway
-/// among `gateways`, from 0. Each gateway gets `width` servers (all, if there are fewer), each server the even
-/// number of gateways or one more; what the last gateways find left makes that one less or two more now and then. A list that changes by one server
-/// in n moves little more than one place in n. Empty where that would take too long (`gateways * width * keys` above 8
+/// among `gateways`, from 0. `width` must be the same at all of them. Each gateway gets so many servers (all, if there
+/// are fewer), each server the even number of gateways or one more; what the last gateways find left makes that one less
+/// or two more now and then. A list that changes by one server moves little else. Empty where that would take too long (`gateways * width * keys` above 8
 /// million) or `me` is none of them: then each may choose for itself.
 Subset share_out(const std::vector<std::uint64_t>& keys, int gateways, int me, std::size_t width);
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -47,7 +47,7 @@
 constexpr Duration kListEach{50}, kListMost{10000};  // discovery's time for one gateway's call; for all
 constexpr Duration kForgetAfter{60000};  // a server that the list lacks for this is forgotten
 constexpr double kColdMargin = 0.75;     // part of a cold server's budget that is used: handshakes, chance
-constexpr double kColdSenders = 1.3;    // room for lists that differ for a while, and with them the shares
+constexpr double kColdSenders = 1.3;     // room for lists that differ for a while, and with them the shares
 constexpr double kColdReserve = 0.4;     // ... less so many times the root of the number sent, in sends
 constexpr Duration kServedFade{60000};   // how long the most that this gateway got served is believed
 constexpr double kPaceGain = 0.15;       // weight of one answer in a server's pace
@@ -102,8 +102,7 @@
     bool was_down = false;   // a failure showed that the process was away, so it comes back cold
     std::uint64_t rank = 0;  // this gateway's own order over the servers
     bool member = false;     // of the subset in use
-    int users = 0;           // gateways that are given it; 0 where each draws its own subset
-    bool mine = true;        // this one is among them
+    int users = 0;           // gateways that are given it, as this one is; 0: each draws; -1: others are
     TimePoint answered_at = TimePoint::min();  // last success of a probe or an attempt
     bool probing = false;
     Duration probe_rest{0};     // longer than the interval where its probes are answered badly
@@ -287,23 +286,17 @@
     // for at once.
     void choose_members() {
         if (!subset_stale_ && now_ - subset_at_ < kSubsetAge) return;
-        subset_stale_ = false;
-        subset_at_ = now_;
+        subset_stale_ = false, subset_at_ = now_;
         order_.clear();
-        here_ = 0;
+        here_ = 0, total_size_ = 0;
         for (int wanted = 0; wanted < 3; ++wanted) {
             for (std::size_t i : ranked_)
                 if (in_use(servers_[i]) && tier(servers_[i]) == wanted) order_.push_back(i);
             if (wanted == 0) here_ = order_.size();
         }
         if (!zoned()) here_ = order_.size();
-        total_size_ = 0;
         for (std::size_t i : order_) total_size_ += servers_[i].entry.size;
-        double member =
-            set_.price_connection * set_.balancers / (100 * std::max(1.0, double(order_.size()))) +
-            set_.price_probe / (kProbeInterval.count() / 1000 * std::max(1.0, arrivals_));
-        double size = std::sqrt(kSubsetWorth / std::max(1e-9, member));
-        width_ = std::max(kSubsetLeast, std::size_t(std::min(size, double(order_.size()))));
+        width_ = width_at(arrivals_);
         share_out_servers();
         for (Server& s : servers_) s.member = false;
         members_.clear();
@@ -326,17 +319,29 @@
         }
     }
 
-    // Guards against drawn subsets: they bring two gateways to one server and thirteen to the next.
+    std::size_t width_at(double first_tries) const {  // a second, of one gateway
+        double n = std::max(1.0, double(order_.size()));
+        double member = set_.price_connection * set_.balancers / (100 * n) +
+                        set_.price_probe / (kProbeInterval.count() / 1000 * std::max(1.0, first_tries));
+        double size = std::sqrt(kSubsetWorth / std::max(1e-9, member));
+        return std::max(kSubsetLeast, std::size_t(std::min(size, double(order_.size()))));
+    }
+
+    // Guards against drawn subsets: two gateways at one server, thirteen at the next. All must come to the
+    // same, so the width goes by the tenants' quotas, which all are told, and not by own arrivals.
     void share_out_servers() {
-        for (Server& s : servers_) s.users = 0, s.mine = true;
-        if (width_ >= order_.size() || zoned()) return;
+        for (Server& s : servers_) s.users = 0;
+        double quotas = 0;
+        for (const TenantSettings& tenant : set_.tenants) quotas += tenant.quota_rps;
+        std::size_t shared = width_at(quotas / set_.balancers);
+        if (shared >= order_.size() || zoned() || set_.removal_not_binding) return;
         std::vector<std::uint64_t> keys;
         for (std::size_t i : order_) keys.push_back(mixed(servers_[i].entry.key));
-        Subset shares = share_out(keys, set_.balancers, set_.me, width_);
+        Subset shares = share_out(keys, set_.balancers, set_.me, shared);
         for (std::size_t k = 0; k < shares.users.size(); ++k)
-            servers_[order_[k]].users = shares.users[k], servers_[order_[k]].mine = shares.mine[k];
-        auto is_mine = [this](std::size_t i) { return servers_[i].mine; };
-        std::stable_partition(order_.begin(), order_.end(), is_mine);
+            servers_[order_[k]].users = shares.mine[k] ? shares.users[k] : -1;
+        auto given = [this](std::size_t i) { return servers_[i].users >= 0; };
+        std::stable_partition(order_.begin(), order_.end(), given);
     }
 
     double sharers() const {  // gateways that use a server, if all have subsets like this one's
@@ -477,23 +482,21 @@
                double(class_state_.size());
     }
 
-    // Rule 4, kept by each gateway alone: its even part of what a cold server stands, assuming that as many
-    // peers send as much as may use it: more than the mean, since subsets are drawn and widen. A send counts
-    // as its class's usual time: few heavy ones are as much as many light ones. Under one send a span, a
-    // seeded draw says for each span whether this gateway is one of the few that send. The first span ends at
-    // a drawn time: those told together do not send together.
+    // Rule 4, kept by each gateway alone: its even part of what a cold server stands, assuming that all to
+    // whom it is given send as much. A send counts as its class's usual time: few heavy ones are as much as
+    // many light ones. Under one send a span, a seeded draw says for each whether this gateway is one of the
+    // few that send. The first span ends at a drawn time: those told together do not send together.
     bool cold_room(Server& s, double usual) {
-        if (share(s) >= 1 || !s.mine) return share(s) >= 1;
+        if (share(s) >= 1 || s.users < 0) return share(s) >= 1;
         std::erase_if(s.cold_sends, [this](const auto& a) { return a.first <= now_ - set_.tip_after; });
         if (now_ >= s.cold_until) {
             s.cold_part = s.cold_until == TimePoint::min() && set_.balancers > 1 ? uniform() : 1;
             s.cold_until = now_ + s.cold_part * set_.tip_after;
             s.cold_draw = uniform();
         }
-        double senders = s.users > 0 ? s.users : 1.5 * sharers();
+        double senders = s.users > 0 ? s.users : 1.5 * sharers(), sent = 0;
         double budget = kColdMargin * set_.overload_factor * share(s) * carried(s) * set_.tip_after.count() /
                         1000 / std::min(double(set_.balancers), kColdSenders * senders);
-        double sent = 0;
         for (const auto& [at, its] : s.cold_sends) sent += its;
         budget *= std::min(1.0, fleet_pace() / pace(s));  // its own answers say if it is a slow one
         double chance = kColdReserve * std::sqrt(sent * usual);
@@ -1007,8 +1010,7 @@
     std::size_t here_ = 0, width_ = kSubsetLeast;                // of order_: own zone where that counts
     std::size_t sorted_ = 0;                                     // of turn_order_, from its begin
     std::size_t unhealthy_ = 0;                                  // of order_
-    bool subset_stale_ = true;
-    TimePoint subset_at_{};
+    bool subset_stale_ = true, watching_ = false;
     std::vector<std::pair<double, std::size_t>> turn_order_, answered_;
     int looks_most_ = 0;  // looks for one request; none where probes carry no load
     std::vector<ClassState> class_state_;
@@ -1020,9 +1022,8 @@
            crossed_ = 1, mean_foreign_ = 0, arrivals_ = 0, slots_ = 0, served_ = 0, total_size_ = 1,
            retry_tokens_ = kBurst, most_served_ = 0;
     TimePoint most_served_at_{}, arrivals_at_{}, served_at_{}, crossed_at_{}, fleet_pace_at_{},
-        resting_until_{}, queue_due_{};
+        resting_until_{}, queue_due_{}, subset_at_{};
     int rewatch_tries_ = 0;
-    bool watching_ = false;
 };
 
 Balancer::Balancer(Settings settings, std::uint64_t seed)
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -614,6 +614,41 @@
     }
 }
 
+// Gateways that work out who uses what must come to the same, however much each has to do: a cold host's budget is
+// divided by a number that each believes to be the others' too.
+TEST(ColdStart, GatewaysOfAnyLoadShareOutTheFleetAlike) {
+    Settings set = make_settings();
+    set.balancers = 100;
+    set.price_probe = 0.08;
+    set.cold_time = Duration{20000};
+    set.tenants = {{1600, 1}};  // 16 a second for each gateway, which is worth four servers
+    std::map<ServerId, std::set<int>> users;
+    for (int k = 0; k < 100; ++k) {
+        set.me = k;
+        Gateway g(set, std::uint64_t(k) * 7919 + 1);
+        std::vector<ListEntry> fleet;
+        for (ServerId id = 1; id <= 60; ++id) {
+            fleet.push_back(entry(id));
+            fleet.back().last_start = at(0);
+        }
+        g.list(1, fleet);
+        double gap = std::vector<double>{25, 60, 150, 400}[std::size_t(k) % 4];  // 40 to 2.5 a second
+        RequestId id = 0;
+        for (double t = 10; t < 15000; t += gap) {
+            g.run_probed(t, [](ServerId) { return Outcome::Ok; });
+            auto to = sent_to(g.arrive(t, ++id));
+            if (!to) continue;
+            users[*to].insert(k);
+            g.ok(t + 5, id, *to, 20);
+        }
+    }
+    std::size_t most = 0, all = 0;
+    for (const auto& [server, whose] : users) most = std::max(most, whose.size()), all += whose.size();
+    EXPECT_EQ(users.size(), 60u);
+    EXPECT_LE(most, 8u) << "6.7 is even";
+    EXPECT_GE(all, 200u) << "those with little to do use three of their four";
+}
+
 TEST(ColdStart, ARestartCountsAtOnceThoughTheHostWasJustWeighed) {
     Settings set = unprobed();
     set.balancers = 1000;
