--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -614,39 +614,36 @@
     }
 }
 
-// Gateways that work out who uses what must come to the same, however much each has to do: a cold host's budget is
-// divided by a number that each believes to be the others' too.
-TEST(ColdStart, GatewaysOfAnyLoadShareOutTheFleetAlike) {
+// Gateways that work out who uses what must come to the same, however much each has to do: one that is busy uses further
+// servers beside those it is given, and no others in their place.
+TEST(Subset, WhatAGatewayIsGivenDoesNotFollowItsLoad) {
     Settings set = make_settings();
     set.balancers = 100;
     set.price_probe = 0.08;
-    set.cold_time = Duration{20000};
     set.tenants = {{1600, 1}};  // 16 a second for each gateway, which is worth four servers
-    std::map<ServerId, std::set<int>> users;
-    for (int k = 0; k < 100; ++k) {
-        set.me = k;
-        Gateway g(set, std::uint64_t(k) * 7919 + 1);
-        std::vector<ListEntry> fleet;
-        for (ServerId id = 1; id <= 60; ++id) {
-            fleet.push_back(entry(id));
-            fleet.back().last_start = at(0);
-        }
+    std::vector<ListEntry> fleet;
+    for (ServerId id = 1; id <= 60; ++id) fleet.push_back(entry(id));
+    auto probed = [&](int me, double gap) {
+        set.me = me;
+        Gateway g(set, std::uint64_t(me) * 7919 + 1);
         g.list(1, fleet);
-        double gap = std::vector<double>{25, 60, 150, 400}[std::size_t(k) % 4];  // 40 to 2.5 a second
+        std::set<ServerId> servers;
         RequestId id = 0;
-        for (double t = 10; t < 15000; t += gap) {
-            g.run_probed(t, [](ServerId) { return Outcome::Ok; });
-            auto to = sent_to(g.arrive(t, ++id));
-            if (!to) continue;
-            users[*to].insert(k);
-            g.ok(t + 5, id, *to, 20);
+        for (double t = 10; t < 20000; t += gap) {
+            for (const Probe& p : all_of<Probe>(g.run_probed(t, [](ServerId) { return Outcome::Ok; })))
+                if (t > 15000) servers.insert(p.server);
+            if (auto to = sent_to(g.arrive(t, ++id))) g.ok(t + 5, id, *to, 5);
         }
+        return servers;
+    };
+    for (int me = 0; me < 100; me += 5) {
+        std::set<ServerId> quiet = probed(me, 300), usual = probed(me, 60), busy = probed(me, 25);
+        EXPECT_EQ(quiet.size(), 3u) << me;
+        EXPECT_GE(usual.size(), 4u) << me;
+        EXPECT_GE(busy.size(), 6u) << me;
+        EXPECT_TRUE(std::includes(usual.begin(), usual.end(), quiet.begin(), quiet.end())) << me;
+        EXPECT_TRUE(std::includes(busy.begin(), busy.end(), usual.begin(), usual.end())) << me;
     }
-    std::size_t most = 0, all = 0;
-    for (const auto& [server, whose] : users) most = std::max(most, whose.size()), all += whose.size();
-    EXPECT_EQ(users.size(), 60u);
-    EXPECT_LE(most, 8u) << "6.7 is even";
-    EXPECT_GE(all, 200u) << "those with little to do use three of their four";
 }
 
 TEST(ColdStart, ARestartCountsAtOnceThoughTheHostWasJustWeighed) {
