--- a/include/ochrehub/subset.h
+++ b/include/ochrehub/subset.h
@@ -21,7 +21,4 @@
 /// million) or `me` is none of them: then each may choose for itself.
 Subset share_out(const std::vector<std::uint64_t>& keys, int gateways, int me, std::size_t width);
 
-/// A 64-bit number of all of x: bits that are alike in near numbers are not alike in these.
-std::uint64_t mixed(std::uint64_t x);
-
 }  // namespace ochrehub
--- a/lab/model/mixer.h
+++ b/lab/model/mixer.h
@@ -5,14 +5,11 @@
 
 #include <cstdint>
 
+#include "ochrehub/hash.h"
+
 namespace ochrehub::lab {
 
-/// The last step of SplitMix64: a one-to-one map, so that what is never given twice stays so.
-constexpr std::uint64_t mixed(std::uint64_t x) {
-    x = (x ^ x >> 30) * 0xbf58476d1ce4e5b9ULL;
-    x = (x ^ x >> 27) * 0x94d049bb133111ebULL;
-    return x ^ x >> 31;
-}
+using ochrehub::mixed;
 constexpr std::uint64_t unmixed(std::uint64_t x) {
     x = (x ^ x >> 31 ^ x >> 62) * 0x319642b2d24d8ec3ULL;
     x = (x ^ x >> 27 ^ x >> 54) * 0x96de1b173f119089ULL;
@@ -22,7 +19,7 @@
 
 /// `salt` sets apart what the same number is asked for.
 constexpr std::uint64_t drawn(std::uint64_t seed, std::uint64_t salt, std::uint64_t number) {
-    return mixed(mixed(seed + salt * 0x9e3779b97f4a7c15ULL) + number * 0xd1342543de82ef95ULL + 1);
+    return mixed(mixed(seed + salt * kGolden) + number * 0xd1342543de82ef95ULL + 1);
 }
 /// In [0, 1).
 constexpr double part_of(std::uint64_t bits) {
--- a/lab/referee/seen_ids.cpp
+++ b/lab/referee/seen_ids.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "ochrehub/hash.h"
+
 namespace ochrehub::lab::referee {
 namespace {
 
@@ -9,11 +11,8 @@
 constexpr std::size_t kIdsPerLine = 32;  // 16 bits each
 constexpr int kBits = 6;
 
-std::uint64_t mixed(std::uint64_t x) {
-    x += 0x9e3779b97f4a7c15;
-    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9;
-    x = (x ^ (x >> 27)) * 0x94d049bb133111eb;
-    return x ^ (x >> 31);
+std::uint64_t mixed_up(std::uint64_t x) {
+    return mixed(x + kGolden);
 }
 
 }  // namespace
@@ -26,13 +25,13 @@
     }
     Part& part = parts_.back();
     --part.room;
-    Line& line = part.lines[mixed(id) % part.lines.size()];
-    std::uint64_t bits = mixed(~id);
+    Line& line = part.lines[mixed_up(id) % part.lines.size()];
+    std::uint64_t bits = mixed_up(~id);
     for (int i = 0; i < kBits; ++i, bits >>= 9) line[bits & 7] |= std::uint64_t(1) << (bits >> 3 & 63);
 }
 
 bool SeenIds::contains(TryId id) const {
-    const std::uint64_t place = mixed(id), which = mixed(~id);
+    const std::uint64_t place = mixed_up(id), which = mixed_up(~id);
     return std::any_of(parts_.begin(), parts_.end(), [&](const Part& part) {
         const Line& line = part.lines[place % part.lines.size()];
         std::uint64_t bits = which;
--- a/src/discovery/watcher.cpp
+++ b/src/discovery/watcher.cpp
@@ -8,6 +8,7 @@
 
 #include "config/json.h"
 #include "base/log.h"
+#include "ochrehub/hash.h"
 
 namespace ochrehub::discovery {
 
@@ -20,13 +21,6 @@
 constexpr std::chrono::milliseconds kLate{2500};  // how much later an answer may come: discovery queues calls for 2 s
 constexpr Duration kConnectTimeout{1000};
 
-// Numbers are given as servers come, and so differ from node to node; names do not. FNV-1a.
-std::uint64_t key_of(std::string_view id) {
-    std::uint64_t key = 0xcbf29ce484222325u;
-    for (char c : id) key = (key ^ std::uint8_t(c)) * 0x100000001b3u;
-    return key;
-}
-
 }  // namespace
 
 Watcher::Watcher(asio::io_context& io, BufferPool& pool, Names names, bool gone_stays,
@@ -142,7 +136,7 @@
         ListEntry& entry = listing.update.entries.emplace_back(member.entry);
         auto [known, fresh] = ids_.try_emplace(member.id, next_id_ + 1);
         if (fresh) ++next_id_;
-        entry.key = key_of(member.id);
+        entry.key = hashed(member.id);  // numbers are given as servers come, and differ from node to node
         entry.server = known->second;
         listing.addresses.push_back(member.address);
     }
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1,5 +1,6 @@
 // ochrehub: every decision of the balancer. Its interface is include/ochrehub/rules.h.
 #include "ochrehub/rules.h"
+#include "ochrehub/hash.h"
 #include "ochrehub/subset.h"
 
 #include <algorithm>
--- a/src/subset/subset.cpp
+++ b/src/subset/subset.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "ochrehub/hash.h"
+
 namespace ochrehub {
 namespace {
 
@@ -9,12 +11,6 @@
 
 }  // namespace
 
-std::uint64_t mixed(std::uint64_t x) {  // SplitMix64's last step
-    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9u;
-    x = (x ^ (x >> 27)) * 0x94d049bb133111ebu;
-    return x ^ (x >> 31);
-}
-
 // Rendezvous hashing with bounded loads: the gateways in turn take those they like best of what has room. Room is the
 // even part, rounded down, until that is used up everywhere, and then one more.
 Subset share_out(const std::vector<std::uint64_t>& keys, int gateways, int me, std::size_t width) {
--- a/tests/subset_test.cpp
+++ b/tests/subset_test.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <numeric>
 
+#include "ochrehub/hash.h"
+
 namespace ochrehub {
 namespace {
 
