--- a/lab/model/discovery.cpp
+++ b/lab/model/discovery.cpp
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "base/slots.h"
 #include "lab/model/alarms.h"
 #include "lab/model/mixer.h"
 
@@ -234,14 +235,7 @@
     void deal_with(const Call& call) {
         std::uint64_t current = stale_ ? stale_revision_ : revision_;
         if (call.index == current) {
-            std::uint32_t place;
-            if (free_watches_.empty()) {
-                place = std::uint32_t(places_.size());
-                places_.emplace_back();
-            } else {
-                place = free_watches_.back();
-                free_watches_.pop_back();
-            }
+            std::uint32_t place = take_slot(places_, free_watches_);
             places_[place] = call;
             watches_.emplace(call.call, place);
             watch_ends_.set(place, call.ends_at);
--- a/lab/swarm/swarm.cpp
+++ b/lab/swarm/swarm.cpp
@@ -4,6 +4,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "base/slots.h"
+
 namespace ochrehub::lab {
 
 using membership::Place;
@@ -137,14 +139,7 @@
     ++sent_;
     auto to = index(send.to);
     double draw = uniform(), late = uniform();
-    std::uint32_t slot;
-    if (free_.empty()) {
-        slot = std::uint32_t(datagrams_.size());
-        datagrams_.emplace_back();
-    } else {
-        slot = free_.back();
-        free_.pop_back();
-    }
+    std::uint32_t slot = take_slot(datagrams_, free_);
     datagrams_[slot] = send.datagram;
     if (set_.octets) {
         std::string octets = membership::encode(send.datagram, keys_);
--- a/src/base/timer_queue.h
+++ b/src/base/timer_queue.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/scheduler.h"
+#include "base/slots.h"
 
 namespace ochrehub {
 
@@ -21,14 +22,7 @@
     TimePoint due() const { return heap_.front().at; }
 
     TimerId push(TimePoint at, Task task) {
-        std::uint32_t slot = 0;
-        if (free_.empty()) {
-            slot = std::uint32_t(slots_.size());
-            slots_.emplace_back();
-        } else {
-            slot = free_.back();
-            free_.pop_back();
-        }
+        std::uint32_t slot = take_slot(slots_, free_);
         Slot& made = slots_[slot];
         made.task = std::move(task);
         made.place = std::uint32_t(heap_.size());
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "base/slots.h"
+
 namespace ochrehub::membership {
 namespace {
 
@@ -511,14 +513,7 @@
         ++counts_.full;
         return kNobody;
     }
-    std::uint32_t slot;
-    if (free_.empty()) {
-        slot = std::uint32_t(members_.size());
-        members_.emplace_back();
-    } else {
-        slot = free_.back();
-        free_.pop_back();
-    }
+    std::uint32_t slot = take_slot(members_, free_);
     members_[slot] = Slot{};
     members_[slot].update = update;
     members_[slot].update.state = State::Alive;
