Make room in the module: one type for what fades, constants in pairs, comments reflowed

Values that fall off by themselves (the fleet's pace, crossings, arrivals, what was served) share one type; one function gives every final answer; constants that belong together share a line.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1,17 +1,17 @@
 // ochrehub: every decision of the balancer. Its interface is include/ochrehub/rules.h.
 #include "ochrehub/rules.h"
-#include "ochrehub/hash.h"
-#include "ochrehub/subset.h"
 
 #include <algorithm>
 #include <cmath>
 #include <iterator>
-#include <numeric>
 #include <queue>
 #include <random>
 #include <unordered_map>
 #include <utility>
 
+#include "ochrehub/hash.h"
+#include "ochrehub/subset.h"
+
 namespace ochrehub {
 namespace {
 
@@ -21,64 +21,61 @@
 constexpr Duration kProbeInterval{2000};    // longest interval; the design's, below its bound of 5 s
 constexpr Duration kProbeIntervalMin{100};  // shortest: many service times, so that probes stay a sample
 constexpr Duration kProbeTimeout{300};      // the design's; each probe is timed out alone
-constexpr Duration kProbeRest{250};         // wait behind a probe that is answered badly; doubles ...
-constexpr Duration kProbeRestMost{4000};    // ... up to this, below the design's bound of 5 s
-constexpr double kPanicShare = 0.5;         // more servers Unhealthy than this: one success is enough
-constexpr double kProbeSpend = 0.002;       // share of the result spent on probes by interval
-constexpr double kLookSpend = 0.016;        // ... and at most on looks for one request
-constexpr std::size_t kLookWidth = 2;       // servers looked at together: the one in turn and the next
-constexpr double kSubsetWorth = 0.05;       // what a second server in use gains, as a share of the result
-constexpr std::size_t kSubsetLeast = 3;     // a look at two, and one to spare
-constexpr int kWidenings = 3;               // times that one request goes past a busy or lost subset
-constexpr Duration kShutFirst{1000};  // a live server that takes no connection is left for this; doubles
+constexpr Duration kProbeRest{250},
+    kProbeRestMost{4000};                // behind a probe answered badly; doubles, below 5 s
+constexpr double kPanicShare = 0.5;      // more servers Unhealthy than this: one success is enough
+constexpr double kProbeSpend = 0.002;    // share of the result spent on probes by interval
+constexpr double kLookSpend = 0.016;     // ... and at most on looks for one request
+constexpr std::size_t kLookWidth = 2;    // servers looked at together: the one in turn and the next
+constexpr double kSubsetWorth = 0.05;    // what a second server in use gains, as a share of the result
+constexpr std::size_t kSubsetLeast = 3;  // a look at two, and one to spare
+constexpr int kWidenings = 3;            // times that one request goes past a busy or lost subset
+constexpr Duration kShutFirst{1000};  // a live server that takes no connection is left for this; doubles ...
 constexpr int kShutDoublings = 1;     // ... so often
 constexpr Duration kFullRest{300};    // a server that turns work away unseen is left for about this
 constexpr double kErrorGain = 0.3;    // weight of one outcome in a server's share of errors
-constexpr double kErrorLeast = 0.2;   // a share of errors that is blamed: one error of a sound server ...
-constexpr double kErrorMore = 1.5;    // ... and so many times the share of all servers
-constexpr Duration kIdleFrom{300};    // a connection without use for this has stood idle
+constexpr double kErrorLeast = 0.2, kErrorMore = 1.5;  // blamed: more than one error, and times that of all
+constexpr Duration kIdleFrom{300};                     // a connection without use for this has stood idle
 constexpr double kIdleGain = 0.1;     // weight of one outcome in the share of lost sends; part still tried
 constexpr double kIdleLoss = 0.3;     // more lost on idle connections than on others: they are dropped unseen
 constexpr Duration kSubsetAge{1000};  // how long a subset stands while the list and health do not change
-constexpr double kYieldMargin = 0.25;    // requests less that make the turn yield: reports are noisy
-constexpr Duration kLookFresh{6};        // a report this young is as good as a look
-constexpr Duration kLookWait{6};         // a server that answers a look later than this is standing still
-constexpr Duration kRewatchMin{250};   // first wait after a failed list call; doubles, with jitter, up to ...
-constexpr Duration kRewatchMax{1200};  // ... this: in a release a list is old within a second
-constexpr Duration kListEach{50}, kListMost{10000};  // discovery's time for one gateway's call; for all
-constexpr Duration kForgetAfter{60000};  // a server that the list lacks for this is forgotten
-constexpr double kColdMargin = 0.75;     // part of a cold server's budget that is used: handshakes, chance
-constexpr double kColdSenders = 1.3;     // room for lists that differ for a while, and with them the shares
-constexpr double kColdReserve = 0.4;     // ... less so many times the root of the number sent, in sends
-constexpr Duration kServedFade{60000};   // how long the most that this gateway got served is believed
-constexpr double kPaceGain = 0.15;       // weight of one answer in a server's pace
-constexpr double kFleetPaceGain = 0.06;  // ... and in the fleet's
+constexpr double kYieldMargin = 0.25;            // requests less that make the turn yield: reports are noisy
+constexpr Duration kLookFresh{6}, kLookWait{6};  // a report as good as a look; a later one: it stands still
+constexpr Duration kRewatchMin{250}, kRewatchMax{1200};  // first wait after a failed list call, and longest
+constexpr Duration kListEach{50}, kListMost{10000};      // discovery's time for one gateway's call; for all
+constexpr Duration kForgetAfter{60000};                  // a server that the list lacks for this is forgotten
+constexpr double kColdMargin = 0.75;    // part of a cold server's budget that is used: handshakes, chance
+constexpr double kColdSenders = 1.3;    // room for lists that differ for a while, and with them the shares
+constexpr double kColdReserve = 0.4;    // ... less so many times the root of the number sent, in sends
+constexpr Duration kRateOver{5000};     // time over which rates are told
+constexpr Duration kServedFade{60000};  // how long the most that this gateway got served is believed
+constexpr double kPaceGain = 0.15,
+                 kFleetPaceGain = 0.06;  // weight of one answer in a server's and the fleet's pace
 constexpr double kFloorMax = 0.4;        // a class's floor is believed up to this part of its aim
 constexpr Duration kPaceFade{3000};      // a server's pace is forgotten over this time without answers
-constexpr double kPaceUsual = 1.4;       // the pace of a server that nothing is known of
-constexpr double kPaceMost = 6;          // one answer says no more than this
-constexpr Duration kWeightAge{50};       // how long a weight is kept: it takes exponentials
-constexpr double kPaceHigh = 2.0;        // answers this much above the class's floor: too much is held there
-constexpr double kPaceLow = 1.6;         // below this the limit may grow
-constexpr double kLimitStart = 3;    // requests in flight at a server nothing is known of, of all gateways
-constexpr double kLimitLeast = 6;     // ... and at a slow one: fewer leave its core idle while they wait
-constexpr double kLimitStartMost = 3;   // ... and of one gateway at the start
+constexpr double kPaceUsual = 1.4, kPaceMost = 6;  // where nothing is known; the most that one answer says
+constexpr Duration kWeightAge{50};                 // how long a weight is kept: it takes exponentials
+constexpr double kPaceHigh = 2.0,
+                 kPaceLow = 1.6;   // too much is held above the one; below the other it may grow
+constexpr double kLimitStart = 3;  // requests in flight at a server nothing is known of, of all gateways ...
+constexpr double kLimitStartMost = 3;   // ... and of one gateway
+constexpr double kLimitLeast = 6;       // ... and at a slow one: fewer leave its core idle while they wait
 constexpr Duration kSpacingMost{2000};  // longest wait between two sends to a server not Unhealthy
 constexpr Duration kForeignAge{600};    // a report on others' requests fades over this, into the mean of all
 constexpr int kLiesToDoubt = 3;         // straight reports that own requests contradict
 constexpr double kForeignGain = 0.05;   // weight of one report in that mean
 constexpr double kRetryShare = 0.2;     // retry budget: repeats that may have run twice, per first try
 constexpr double kBurst = 5;            // ... and how many may come at once; of one tenant too
-constexpr double kCrossCheap = 0.1;     // part of a request's worth that crossing may cost at any time
-constexpr double kCrossMost = 0.5;      // ... and when it has waited and crossings go well
-constexpr Duration kCrossFade{10000};   // how long bad crossings count: they are few
-constexpr int kQueueTries = 6;          // waiting requests that are tried before the rest are left
-constexpr Duration kQueueRest{3};       // ... and how long: less than a look is fresh
-constexpr Duration kWire{2};            // reserve for the way back to the client
-constexpr Duration kClockStep{0.002};   // clocks are told to the microsecond: closer than this is due
+constexpr double kCrossCheap = 0.1,
+                 kCrossMost = 0.5;     // part of the worth to cross for: at any time; late and well
+constexpr Duration kCrossFade{10000};  // how long bad crossings count: they are few
+constexpr int kQueueTries = 6;         // waiting requests that are tried before the rest are left
+constexpr Duration kQueueRest{3};      // ... and how long: less than a look is fresh
+constexpr Duration kWire{2};           // reserve for the way back to the client
+constexpr Duration kClockStep{0.002};  // clocks are told to the microsecond: closer than this is due
 constexpr double kAnswerTimes = 1.4;   // times the usual time for an answer that is kept for one
 constexpr double kWaitMost = 0.47;     // part of its time that a request waits for its first send
-constexpr double kRepeatWorth = 0.3;    // a client's repeat has spent part of its time already
+constexpr double kRepeatWorth = 0.3;   // a client's repeat has spent part of its time already
 
 enum class Health { Unknown, Healthy, Unhealthy };
 enum class Fate { Open, NeverRan, MayHaveRun };
@@ -91,11 +88,10 @@
 struct Server {
     ServerId id = 0;
     ListEntry entry;
-    bool listed = false;
-    bool named = false;  // listed by the list before this one
-    TimePoint listed_at{};   // when it was listed last
-    int refs = 0;            // attempts of requests that are still known
-    bool free = false;       // forgotten: its place may be taken by another
+    bool listed = false, named = false;  // by this list; by the one before
+    TimePoint listed_at{};               // when it was listed last
+    int refs = 0;                        // attempts of requests that are still known
+    bool free = false;                   // forgotten: its place may be taken by another
     bool seen_draining = false;
     std::optional<TimePoint> started;  // last known start, from the list or guessed after an outage
     Health health = Health::Unknown;
@@ -106,10 +102,9 @@
     int users = 0;           // gateways that are given it, as this one is; 0: each draws; -1: others are
     TimePoint answered_at = TimePoint::min();  // last success of a probe or an attempt
     bool probing = false;
-    Duration probe_rest{0};     // longer than the interval where its probes are answered badly
-    TimePoint probed_at{};      // when the last probe or look that was answered went out
-    bool probe_open = false;    // a probe is out
-    bool probe_counts = false;  // ... by interval; else a look, which says nothing on health
+    Duration probe_rest{0};  // longer than the interval where its probes are answered badly
+    TimePoint probed_at{};   // when the last probe or look that was answered went out
+    bool probe_open = false, probe_counts = false;  // one is out; by interval, else a look, which says little
     std::uint64_t probe_epoch = 0;
     double turn = 0;           // current weight of the smooth weighted rotation
     int own = 0;               // own attempts in flight
@@ -118,8 +113,8 @@
     double pace = kPaceUsual;  // answer time over the class's floor, smoothed
     double weight = 1;         // as of weight_at
     double limit = 0;
-    TimePoint probe_sent{}, foreign_at{}, pace_at{}, weight_at = TimePoint::min();
-    TimePoint limit_cut{}, last_send{}, used_at{};
+    TimePoint probe_sent{}, foreign_at{}, pace_at{}, limit_cut{}, last_send{}, used_at{};
+    TimePoint weight_at = TimePoint::min();
     Duration last_elapsed{};
     TimePoint shut_until = TimePoint::min();  // takes no new connection
     double errors = 0;                        // share of its outcomes of late
@@ -127,8 +122,8 @@
     bool connected = false;                   // an answer has come since the last break
     int silent = 0;                           // own attempts past their time since the last real answer
     std::vector<std::pair<TimePoint, double>> cold_sends;  // of the last span, with their usual times
-    TimePoint cold_until = TimePoint::min();  // end of the span that cold_draw holds for
-    double cold_part = 1, cold_draw = 0;      // the span's length in tip_after; this gateway's luck in it
+    TimePoint cold_until = TimePoint::min();               // end of the span that cold_draw holds for
+    double cold_part = 1, cold_draw = 0;  // the span's length in tip_after; this gateway's luck in it
 };
 
 struct Attempt {
@@ -156,6 +151,12 @@
     bool seen = false;
 };
 
+struct Fading {  // a value that falls off by itself while nothing new is learned of it
+    double value = 0;
+    TimePoint at{};
+    double left(TimePoint now, Duration over) const { return value * std::exp(-((now - at) / over)); }
+};
+
 enum class TimerKind { ProbeDue, ProbeLate, Rewatch, Start, Overdue, Look };
 struct Timer {
     TimePoint at{};
@@ -238,8 +239,7 @@
     }
 
     std::size_t place() {
-        auto is_free = [](const Server& s) { return s.free; };
-        auto found = std::find_if(servers_.begin(), servers_.end(), is_free);
+        auto found = std::find_if(servers_.begin(), servers_.end(), [](const Server& s) { return s.free; });
         if (found == servers_.end()) found = servers_.emplace(found);
         found->free = false, found->listed_at = now_;
         return std::size_t(found - servers_.begin());
@@ -296,7 +296,7 @@
         }
         if (!zoned()) here_ = order_.size();
         for (std::size_t i : order_) total_size_ += servers_[i].entry.size;
-        width_ = width_at(arrivals_);
+        width_ = width_at(arrivals_.value);
         share_out_servers();
         for (Server& s : servers_) s.member = false;
         members_.clear();
@@ -349,7 +349,7 @@
     }
 
     // Two gateways hold no less at a server together than three do: part of each request's time is spent
-    // waiting elsewhere, so one or two of them leave a server idle, and where all slow down it stays so.
+    // waiting elsewhere, so one or two of them leave a server idle.
     double limit_min() const {
         return std::min(std::max(1.0, kLimitLeast / set_.balancers), kLimitLeast / sharers());
     }
@@ -363,19 +363,17 @@
 
     // ---- Health
     // As often as a small fixed share of the result pays for, over all that are probed. Guards against a
-    // loop: the fewer are Healthy, the more the others are probed, and servers answer few probes a second.
+    // loop: the fewer are Healthy, the more the others are probed.
     Duration probe_interval() const {
         double n = double(std::min(order_.size(), members_.size() + unhealthy_));
-        double per_s = kProbeSpend / std::max(set_.price_probe, 1e-4) * std::max(arrivals_, 1.0);
+        double per_s = kProbeSpend / std::max(set_.price_probe, 1e-4) * std::max(arrivals_.value, 1.0);
         return std::clamp(Duration{1000 * n / per_s}, kProbeIntervalMin, kProbeInterval);
     }
 
     void probe(std::size_t i) {
         Server& s = servers_[i];
-        if (!in_use(s) || (!s.member && s.health != Health::Unhealthy)) {
-            s.probing = false;
-            return;
-        }
+        s.probing = in_use(s) && (s.member || s.health == Health::Unhealthy);
+        if (!s.probing) return;
         Duration every = std::max(probe_interval(), s.probe_rest), rest = s.probed_at + every - now_;
         if (rest <= kClockStep) {
             ask(s, i);
@@ -404,11 +402,8 @@
             note_report(s, *e.report.inflight);
             if (e.report.queue) slots_ = std::max(slots_, std::round(*e.report.inflight - *e.report.queue));
         }
-        if (ok) {  // a look that is answered stands for the probe by interval
-            s.probed_at = s.probe_sent;
-            note_success(s);
-            return;
-        }
+        if (ok) s.probed_at = s.probe_sent;  // a look that is answered stands for the probe by interval
+        if (ok) return note_success(s);
         if (e.outcome == Outcome::Error)
             s.probe_rest = std::clamp(2 * s.probe_rest, kProbeRest, kProbeRestMost);
         if (s.probe_counts)  // a look that is not answered may only have met a pause
@@ -438,9 +433,9 @@
         if (s.probe_counts) note_failure(s, false);
     }
 
-    // Exception: where most servers are Unhealthy, what made them so is shared or lies here, and one success
-    // is enough to be used again. Guards against a fleet that is back and waits for its second probes.
-    // Most of fewer than three says nothing.
+    // Exception: where most servers (of three or more) are Unhealthy, what made them so is shared or lies
+    // here, and one success is enough to be used again. Guards against a fleet that is back and waits for its
+    // second probes.
     bool usable(const Server& s) const {
         if (s.health != Health::Unhealthy) return true;
         return s.successes > 0 && unhealthy_ > 2 && double(unhealthy_) > kPanicShare * double(order_.size());
@@ -477,15 +472,15 @@
     }
 
     double floor_ms() const {
-        auto add = [](double sum, const ClassState& c) { return sum + c.floor_ms; };
-        return std::accumulate(class_state_.begin(), class_state_.end(), 0.0, add) /
-               double(class_state_.size());
+        double sum = 0;
+        for (const ClassState& c : class_state_) sum += c.floor_ms;
+        return sum / double(class_state_.size());
     }
 
     // Rule 4, kept by each gateway alone: its even part of what a cold server stands, assuming that all to
-    // whom it is given send as much. A send counts as its class's usual time: few heavy ones are as much as
-    // many light ones. Under one send a span, a seeded draw says for each whether this gateway is one of the
-    // few that send. The first span ends at a drawn time: those told together do not send together.
+    // whom it is given send as much. A send counts as its class's usual time. Under one send a span, a seeded
+    // draw says for each whether this gateway is one of the few that send. The first span ends at a drawn
+    // time: those told together do not send together.
     bool cold_room(Server& s, double usual) {
         if (share(s) >= 1 || s.users < 0) return share(s) >= 1;
         std::erase_if(s.cold_sends, [this](const auto& a) { return a.first <= now_ - set_.tip_after; });
@@ -504,11 +499,11 @@
     }
 
     // Usual times a second that a server like it is seen to carry, lower bounds both: what its slots serve,
-    // and its part of the most that this gateway got served of late, if all gateways do as well. Not of what
-    // it gets served now: in a release that is what cold servers are sent, and would fall by its own fall.
+    // and its part of the most that this gateway got served of late, if all do as well. Not of what it gets
+    // served now: in a release that is what cold servers are sent, and would fall by its own fall.
     double carried(const Server& s) const {
         double slots = std::max(1.0, slots_) * 1000 / 1.5;
-        double served = most_served_ * std::exp(-((now_ - most_served_at_) / kServedFade)) * set_.balancers;
+        double served = most_served_.left(now_, kServedFade) * set_.balancers;
         return std::max(slots, served * s.entry.size / std::max(1e-9, total_size_));
     }
 
@@ -540,9 +535,7 @@
 
     // A server's pace fades into the fleet's, so that no verdict lasts by itself; the fleet's into the usual
     // one. Guards against all servers slowing at once, which one server's few answers do not show in time.
-    double fleet_pace() const {
-        return kPaceUsual + (fleet_pace_ - kPaceUsual) * std::exp(-((now_ - fleet_pace_at_) / kPaceFade));
-    }
+    double fleet_pace() const { return kPaceUsual + fleet_pace_.left(now_, kPaceFade); }
 
     double pace(const Server& s) const {
         double fleet = fleet_pace();
@@ -554,8 +547,7 @@
         s.pace = pace(s) + kPaceGain * (ratio - pace(s));
         s.pace_at = now_;
         s.weight_at = TimePoint::min();
-        fleet_pace_ = fleet_pace() + kFleetPaceGain * (ratio - fleet_pace());
-        fleet_pace_at_ = now_;
+        fleet_pace_ = {fleet_pace() + kFleetPaceGain * (ratio - fleet_pace()) - kPaceUsual, now_};
     }
 
     void note_answer(Server& s, const Request& r, const Attempt& a, Duration elapsed) {
@@ -570,14 +562,11 @@
         double ms = elapsed.count() * share(s);
         if (!std::exchange(c.seen, true)) c.floor_ms = ms;
         // Settles near the lower third of the answers: those that met no queue. Never above a set part of the
-        // aim: a slow spell must not teach that nothing can be served, or all would be refused ever after.
+        // aim: a slow spell must not teach that nothing can be served.
         c.floor_ms += (ms < c.floor_ms ? 0.04 : 0.02) * (ms - c.floor_ms);
         c.floor_ms = std::min(c.floor_ms, kFloorMax * cls(r).aim.count());
-        served_ = served_ * std::exp(-(now_ - served_at_).count() / 5000) + 0.2 * c.floor_ms;
-        served_at_ = now_;
-        double faded = most_served_ * std::exp(-((now_ - most_served_at_) / kServedFade));
-        most_served_ = std::max(served_, faded);
-        most_served_at_ = now_;
+        served_ = {served_.left(now_, kRateOver) + 0.2 * c.floor_ms, now_};
+        most_served_ = {std::max(served_.value, most_served_.left(now_, kServedFade)), now_};
         double ratio = ms / std::max(1e-3, c.floor_ms) / queueing(a.held);
         learn_pace(s, ratio);
         if (s.pace > kPaceHigh && now_ - s.limit_cut > elapsed) {
@@ -611,8 +600,7 @@
         if (auto here = pick_among(r, 0, here_)) return here;
         if (here_ == order_.size()) return std::nullopt;
         // Exception: a request leaves its zone when that costs little of its worth, or part of its time is
-        // gone and crossings of late were answered well enough to be worth it: where all are busy they gain
-        // nothing.
+        // gone and crossings of late were answered well enough: where all are busy they gain nothing.
         double crossing = set_.price_cross_zone * mean_gain_ / std::max(1e-9, r.worth);
         bool late = now_ - r.arrived > 0.3 * (r.useful_until - r.arrived);
         if (crossing < kCrossCheap || (late && crossing < kCrossMost * crossed_well()))
@@ -620,9 +608,7 @@
         return std::nullopt;
     }
 
-    double crossed_well() const {
-        return 1 - (1 - crossed_) * std::exp(-((now_ - crossed_at_) / kCrossFade));
-    }
+    double crossed_well() const { return 1 - missed_.left(now_, kCrossFade); }
 
     std::optional<std::size_t> pick_among(Request& r, std::size_t from, std::size_t to) {
         double total = 0;
@@ -662,8 +648,8 @@
 
     // The rotation yields to the next in turn if that holds less. Exception: while the one chosen would make
     // the request wait, or lies in another zone and crossing costs, the turn moves on to the first that would
-    // not, or to the least wait there is. Crossing counts as one request more that is held there, so that a
-    // zone with more callers than servers still spreads.
+    // not, or to the least wait there is. Crossing counts as one request more, so that a zone with more
+    // callers than servers still spreads.
     std::size_t yield_in_turn() {
         std::size_t best = in_turn(0);
         for (std::size_t k = 1; k < turn_order_.size(); ++k) {
@@ -698,9 +684,9 @@
     }
 
     // Exception, where probes carry load: before a send, the one in turn and the next are asked what they
-    // hold, since a gateway's own count says little; it moves on along the turn while those asked are busy.
-    // One that does not answer stands still and is passed over. Where the aim would be missed the request
-    // waits here, where it can still be given up safely.
+    // hold; it moves on along the turn while those asked are busy. One that does not answer stands still and
+    // is passed over. Where the aim would be missed the request waits here, where it can still be given up
+    // safely.
     std::optional<std::size_t> look(Request& r) {
         answered_.clear();
         std::size_t n = turn_order_.size(), pair_end = 0;
@@ -747,9 +733,7 @@
         r.useful_until = c.late_worth > 0 ? r.give_up_at : std::min(now_ + aim, r.give_up_at);
         r.worth = c.gain * (r.repeat ? kRepeatWorth : 1);
         if (e.tenant >= 0 && over_quota(e.tenant)) r.worth *= set_.over_share_worth;
-        double gap = (now_ - arrivals_at_).count();
-        arrivals_ = arrivals_ * std::exp(-gap / 5000) + (r.repeat ? 0 : 0.2);
-        arrivals_at_ = now_;
+        arrivals_ = {arrivals_.left(now_, kRateOver) + (r.repeat ? 0 : 0.2), now_};
         if (!r.repeat) mean_gain_ += 0.02 * (c.gain - mean_gain_);
         if (!r.repeat) retry_tokens_ = std::min(kBurst, retry_tokens_ + kRetryShare);
         enqueue(r);
@@ -774,10 +758,7 @@
     }
 
     void enqueue(Request& r) {
-        if (start_by(r).count() <= 0) {
-            give_up(r);
-            return;
-        }
+        if (start_by(r).count() <= 0) return give_up(r);
         r.queued = true;
         // Highest worth for the work first, as work is known now; among equals the newest: it can still be in
         // time. Guards against newest last while all slow down and usual times rise.
@@ -838,11 +819,10 @@
         --r.open;
         resting_until_ = now_;
         Server& s = servers_[a.server];
-        s.own = std::max(0, s.own - 1);
+        --s.own;
         if (zoned() && s.entry.zone != set_.zone) {
             bool well = e.outcome == Outcome::Ok && e.elapsed.count() < kPaceLow * state(r).floor_ms;
-            crossed_ = crossed_well() + kPaceGain * (well - crossed_well());
-            crossed_at_ = now_;
+            missed_ = {1 - crossed_well() - kPaceGain * (well - crossed_well()), now_};
         }
         bool lost = e.outcome == Outcome::Timeout || e.outcome == Outcome::Reset;
         (a.idled ? idle_loss_ : used_loss_) += kIdleGain * (lost - (a.idled ? idle_loss_ : used_loss_));
@@ -853,14 +833,12 @@
     }
 
     void judge(Server& s, const Request& r, Attempt& a, const AttemptEnded& e) {
-        if (e.outcome == Outcome::Ok) {
-            note_answer(s, r, a, e.elapsed);
-            if (usable(s)) note_success(s);
-        }
+        if (e.outcome == Outcome::Ok) note_answer(s, r, a, e.elapsed);
+        if (e.outcome == Outcome::Ok && usable(s)) note_success(s);
         if (e.outcome == Outcome::ConnectFailed) refused_connection(s);
-        // A reset shows a broken connection, not that the server is away: of one that is, the next connects
-        // and probes fail. Guards against resets from all servers alike that eject sound ones and then take
-        // them for cold. One on a connection that stood idle is the connection's fault.
+        // A reset shows a broken connection, not that the server is away: of one that is, probes fail. Guards
+        // against resets from all servers alike that eject sound ones. One that stood idle is the
+        // connection's fault.
         if (e.outcome == Outcome::Error || (e.outcome == Outcome::Reset && !a.idled)) blame(s);
         if (e.outcome == Outcome::Timeout && !a.overdue) overdue(s, a);
         if (e.outcome != Outcome::Full) return;
@@ -919,24 +897,17 @@
                std::all_of(r.attempts.begin(), r.attempts.end(), never_ran);
     }
 
-    void give_up(Request& r) { finish(r, may_refuse(r)); }
-
-    // Every final answer that is not a server's passes here.
-    void finish(Request& r, bool refuse) {
+    void give_up(Request& r) {  // every final answer that is not a server's passes here
         if (r.finished) return;
         Duration after{0};
         if (set_.retry_after) after = std::min(set_.max_retry_after, Duration{500 + 1000 * uniform()});
-        if (refuse)
-            emit(Refuse{r.id, after});
-        else
-            emit(Fail{r.id});
+        may_refuse(r) ? emit(Refuse{r.id, after}) : emit(Fail{r.id});
         conclude(r);
     }
 
     void on(const StreamStarted& e) {
         if (Request* r = find(e.request)) r->streaming = true;
     }
-
     void on(const ClientGone& e) {
         if (Request* r = find(e.request)) conclude(*r);
     }
@@ -1018,11 +989,11 @@
     std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
     std::optional<TimePoint> wake_;
     std::uint64_t timer_order_ = 0, rewatch_epoch_ = 0;
-    double fleet_pace_ = kPaceUsual, mean_gain_ = 1, idle_loss_ = 0, used_loss_ = 0, errors_ = 0,
-           crossed_ = 1, mean_foreign_ = 0, arrivals_ = 0, slots_ = 0, served_ = 0, total_size_ = 1,
-           retry_tokens_ = kBurst, most_served_ = 0;
-    TimePoint most_served_at_{}, arrivals_at_{}, served_at_{}, crossed_at_{}, fleet_pace_at_{},
-        resting_until_{}, queue_due_{}, subset_at_{};
+    Fading fleet_pace_, missed_;  // above the usual; the share of crossings that went badly
+    Fading arrivals_, served_, most_served_;
+    double mean_gain_ = 1, idle_loss_ = 0, used_loss_ = 0, errors_ = 0, mean_foreign_ = 0, slots_ = 0,
+           total_size_ = 1, retry_tokens_ = kBurst;
+    TimePoint resting_until_{}, queue_due_{}, subset_at_{};
     int rewatch_tries_ = 0;
 };
 
