Answer operators at a second address, take servers out by hand, take over a listener

Design. src/admin: the second address in a thread and io_context of its own, with descriptors of its own; it reads atomic counters, which the node's loop alone writes where the event happens (engine/counters.h), and posts what operators say to that loop. Servers out by hand are an event to the module, by the hash of their id: discovery may drop, list and renumber them meanwhile. Not taken: a filter on the list in discovery's client, which would make the return look like a new server and lose what is cold. src/takeover: the listener named by GW_FD; which processes of a node live, by locks on two files that the kernel drops with the process (not taken: pid files, which outlive a SIGKILL); what was said by hand, in one file replaced whole, with version and check, read by both processes. While both live each has half of descriptors, memory and cold budgets. The new one accepts once its own list has come, 2 s after its start at the latest; the old one closes the listener at SIGTERM and answers what its connections still bring.

--- a/include/ochrehub/rules.h
+++ b/include/ochrehub/rules.h
@@ -133,8 +133,19 @@
     RequestId request = 0;
 };
 struct Woken {};
-using Event =
-    std::variant<ListUpdate, RequestArrived, AttemptEnded, StreamStarted, ProbeEnded, ClientGone, Woken>;
+/// Operators take a server out, whatever lists say of it from then on, or put it back. It returns cold: started at
+/// `since`, unless a list knows of a later start.
+struct ByHand {
+    std::uint64_t key = 0;  ///< that of its list entry, or its number where that has none
+    bool out = false;
+    TimePoint since{};
+};
+/// Another process of this gateway has begun to live beside this one, or has ended: budgets are for both.
+struct Twinned {
+    bool twin = false;
+};
+using Event = std::variant<ListUpdate, RequestArrived, AttemptEnded, StreamStarted, ProbeEnded, ClientGone, Woken,
+                           ByHand, Twinned>;
 
 // Actions, to be carried out in order.
 struct Forward {  ///< start the next attempt (numbered 0, 1, ... per request)
@@ -180,6 +191,9 @@
     /// Takes one event that happened at `now` (never earlier than the last) and appends what is to be done.
     void handle(TimePoint now, const Event& event, Actions& actions);
 
+    /// Listed servers that are sent nothing new: out by hand, draining or Unhealthy. As of the last event.
+    std::size_t avoided() const;
+
 private:
     class Rules;
     std::unique_ptr<Rules> rules_;
--- /dev/null
+++ b/src/admin/metrics.cpp
@@ -0,0 +1,56 @@
+#include "admin/metrics.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace ochrehub::admin {
+namespace {
+
+void describe(std::string& out, std::string_view name, std::string_view type, std::string_view help) {
+    out.append("# HELP ").append(name).append(" ").append(help).append("\n");
+    out.append("# TYPE ").append(name).append(" ").append(type).append("\n");
+}
+
+void put(std::string& out, std::string_view name, std::int64_t value) {
+    out.append(name).append(" ").append(std::to_string(value)).append("\n");
+}
+
+}  // namespace
+
+std::string escaped(std::string_view text) {
+    std::string out;
+    for (char c : text) {
+        if (c == '\n') {
+            out += "\\n";
+            continue;
+        }
+        if (c == '\\' || c == '"') out += '\\';
+        out += c;
+    }
+    return out;
+}
+
+std::string metrics(const Counters& counters, const std::vector<std::string>& classes) {
+    std::string out;
+    out.reserve(1024 + 256 * classes.size());
+    describe(out, "app_transactions_total", "counter",
+             "Requests by class and end: served, refused (429 or 503), failed.");
+    for (std::size_t i = 0; i < classes.size(); ++i) {
+        const Counters::Class& c = counters.classes[i];
+        std::string label = "app_transactions_total{group=\"" + escaped(classes[i]) + "\",state=\"";
+        put(out, label + "answered\"}", c.answered.get());
+        put(out, label + "deferred\"}", c.deferred.get());
+        put(out, label + "errored\"}", c.errored.get());
+    }
+    describe(out, "app_sends_total", "counter", "Attempts written whole to servers.");
+    put(out, "app_sends_total", counters.sends.get());
+    describe(out, "app_current", "gauge", "Requests taken and not ended.");
+    put(out, "app_current", std::max<std::int64_t>(0, counters.current.get()));
+    describe(out, "app_cluster_size", "gauge", "Servers in the list.");
+    put(out, "app_cluster_size", counters.listed.get());
+    describe(out, "app_cluster_unhealthy", "gauge", "Listed servers that get nothing new now.");
+    put(out, "app_cluster_unhealthy", counters.avoided.get());
+    return out;
+}
+
+}  // namespace ochrehub::admin
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
@@ -18,6 +19,7 @@
 #include <vector>
 
 #include "app/commands.h"
+#include "admin/side.h"
 #include "app/plan.h"
 #include "audit/journal.h"
 #include "base/asio_scheduler.h"
@@ -29,6 +31,7 @@
 #include "figures/figures.h"
 #include "http/front.h"
 #include "http/server_pool.h"
+#include "takeover/pair.h"
 
 namespace ochrehub::app {
 namespace {
@@ -37,6 +40,11 @@
 
 constexpr std::chrono::milliseconds kDrainLeast{700};  // clients still come for a while
 constexpr std::chrono::milliseconds kDrainLook{20};
+// Beside a process that has taken over: the platform kills what is left after the longest deadline and 0.7 s.
+constexpr std::chrono::milliseconds kStopLate{500};
+constexpr Duration kDeadlineMost{3000};
+constexpr std::chrono::milliseconds kListWait{2000};  // for the first answer of discovery's, beside another process
+constexpr std::chrono::milliseconds kTwinLook{100};
 
 std::unique_ptr<audit::Journal> open_journal(const Plan& plan) {
     if (!plan.operators.audit.on) return nullptr;
@@ -67,6 +75,75 @@
     return names;
 }
 
+/// How long a client may wait for the answer to what was taken last.
+Duration longest(const Settings& settings) {
+    Duration most{0};
+    for (const ClassSettings& c : settings.classes) most = std::max(most, c.give_up);
+    return std::min(most, kDeadlineMost);
+}
+
+/// When the first connection is accepted: at once, but beside an earlier process, which serves meanwhile, with a list of
+/// servers of this process's own. Guards against a start from a list that is old; one that does not come holds up
+/// nothing.
+class Opening {
+public:
+    Opening(asio::io_context& io, bool waits) : waits_(waits), timer_(io) {}
+
+    void when_due(std::function<void()> open) {
+        open_ = std::move(open);
+        if (!waits_) return now();
+        timer_.expires_after(kListWait);
+        timer_.async_wait([this](boost::system::error_code stopped) {
+            if (!stopped) now();
+        });
+    }
+    void listed(const Listing& listing) {
+        bool fresh = listing.update.kind == ListKind::Full || listing.update.kind == ListKind::Delta;
+        if (waits_ && fresh) now();
+    }
+
+private:
+    void now() {
+        waits_ = false;
+        timer_.cancel();
+        if (auto open = std::exchange(open_, nullptr)) open();
+    }
+
+    bool waits_;
+    asio::steady_timer timer_;
+    std::function<void()> open_;
+};
+
+/// Sees whether another process of this node lives, and tells when that changes.
+class Twins {
+public:
+    /// Where `folder` is empty nobody else can.
+    Twins(asio::io_context& io, const std::string& folder, const std::string& files, std::function<void(bool)> tell)
+        : timer_(io), tell_(std::move(tell)) {
+        if (folder.empty()) return;
+        pair_.emplace(folder, files);
+        look();
+    }
+
+private:
+    void look() {
+        if (bool twin = pair_->twin(); twin != std::exchange(twin_, twin)) {
+            log_line(twin ? "another process of this node lives: limits are halved"
+                          : "alone: limits are whole again");
+            tell_(twin);
+        }
+        timer_.expires_after(kTwinLook);
+        timer_.async_wait([this](boost::system::error_code stopped) {
+            if (!stopped) look();
+        });
+    }
+
+    asio::steady_timer timer_;
+    std::function<void(bool)> tell_;
+    std::optional<takeover::Pair> pair_;
+    bool twin_ = false;
+};
+
 /// Where the list of servers comes from.
 class Servers {
 public:
@@ -113,24 +190,53 @@
     auto rev = [&] { return "file rev " + std::to_string(revision); };
     BufferPool pool(config.memory_mb);  // before the loop: pending handlers still hold buffers when it goes
     asio::io_context io{1};
-    DescriptorBudget budget = DescriptorBudget::of(config.sockets);
+    const std::size_t reserved = config.control ? admin::Desk::kDescriptors : 0;
+    DescriptorBudget budget = DescriptorBudget::of(config.sockets, reserved);
     AsioScheduler scheduler(io);
     Engine engine(scheduler, config.settings, config.seed);
-    http::ServerPool connections(io, pool, engine, config.settings, budget.servers, plan.manner);
-    http::Front* heard = nullptr;  // the front, once there is one; no list comes before that
+    Counters counters(config.names.classes.size());
+    engine.count_in(&counters);
+    http::ServerPool connections(io, pool, engine, config.settings, budget.servers, plan.manner, &counters);
+    std::optional<http::Front> front;  // no list comes before there is one
+    std::optional<admin::Side> side;
+    Opening opening(io, config.inherited.has_value());
+    auto show = [&] {
+        if (side) side->serves(front->serves());
+    };
     Servers servers(io, pool, plan, [&](const Listing& listing) {
-        if (heard) heard->listed(listing);
+        front->listed(listing);
+        if (side) side->listed(listing);
         engine.listed(listing);
+        opening.listed(listing);
+        show();
     });
     engine.connect(connections, servers.registry());
-    figures::Figures figures(io, config.names);
-    http::Front front(io, pool, engine, figures, config.settings, config.names, config.listen, budget,
-                      ~config.seed, plan.manner);
-    heard = &front;
+    figures::Figures figures(io, config.names, &counters);
+    front.emplace(io, pool, engine, figures, config.settings, config.names, config.listen, config.inherited, budget,
+                  ~config.seed, plan.manner);
+    const std::string& folder = config.scratch;
+    std::string files = "ochrehub-" + config.listen.address().to_string() + "-" + std::to_string(config.listen.port());
+    if (config.control)
+        side.emplace(*config.control, counters, config.names.classes,
+                     takeover::Store(folder, files, config.name, config.settings.cold_time),
+                     [&](std::uint64_t key, bool out, TimePoint since) {
+                         asio::post(io, [&engine, key, out, since] { engine.by_hand(key, out, since); });
+                     });
+    opening.when_due([&] {
+        front->open();
+        show();
+    });
     servers.begin(plan);
+    Twins twins(io, config.inherited && !folder.empty() ? folder : "", files, [&](bool twin) {
+        DescriptorBudget part = DescriptorBudget::of(config.sockets, reserved, twin);
+        front->keep_to(part);
+        connections.keep_to(part.servers);
+        pool.keep_to(twin ? config.memory_mb / 2 : config.memory_mb);
+        engine.twinned(twin);
+    });
     auto apply = [&] {
         const rewrite::Rewrites& rewrites = plan.operators.rewrites;
-        front.rewrite_by(rewrites.on ? std::make_shared<const rewrite::Rewrites>(rewrites) : nullptr);
+        front->rewrite_by(rewrites.on ? std::make_shared<const rewrite::Rewrites>(rewrites) : nullptr);
         figures.use(plan.operators.figures);
     };
     apply();
@@ -181,9 +287,14 @@
     asio::signal_set stop(io, SIGTERM, SIGINT);
     asio::steady_timer look(io);
     std::chrono::steady_clock::time_point stopped_at;
+    auto stop_most = std::chrono::duration_cast<std::chrono::milliseconds>(longest(config.settings)) + kStopLate;
     std::function<void()> end_when_quiet = [&] {
-        bool waited = std::chrono::steady_clock::now() - stopped_at >= kDrainLeast;
-        if (waited && engine.open_requests() == 0 && front.quiet()) return io.stop();
+        auto since = std::chrono::steady_clock::now() - stopped_at;
+        bool waited = since >= kDrainLeast, answered = engine.open_requests() == 0;
+        // Whoever took over has the listener: what stays is connections, which their clients may use once more.
+        bool over = config.inherited ? (answered && front->empty()) || since >= stop_most
+                                     : waited && answered && front->quiet();
+        if (over) return io.stop();
         look.expires_after(kDrainLook);
         look.async_wait([&](boost::system::error_code) { end_when_quiet(); });
     };
@@ -192,7 +303,8 @@
         log_line("stopping: %zu requests to answer", engine.open_requests());
         record("stop", signal == SIGINT ? "SIGINT" : "SIGTERM",
                std::to_string(engine.open_requests()) + " requests to answer");
-        front.drain();
+        front->drain();
+        show();
         stopped_at = std::chrono::steady_clock::now();
         end_when_quiet();
     });
--- a/src/app/node_config.cpp
+++ b/src/app/node_config.cpp
@@ -8,6 +8,7 @@
 
 #include "base/address.h"
 #include "config/json.h"
+#include "takeover/inherited.h"
 
 namespace ochrehub::app {
 namespace {
@@ -86,6 +87,11 @@
         config.name = told("GW_NAME", "name", false);
         config.listen = address("GW_LISTEN", "listen", false);
         config.discovery = address("GW_DISCOVERY", "discovery", occasion == Occasion::Reload);
+        if (!environment("GW_CONTROL").empty() || file.find("control"))
+            config.control = address("GW_CONTROL", "control", false);
+        config.scratch = environment("TMPDIR");
+        if (std::string fd = environment("GW_FD"); !fd.empty() && occasion == Occasion::Start)
+            config.inherited = takeover::inherited_listener(fd);
         std::string seed(file.find("seed").value_or(""));
         config.seed = seed.empty() ? draw_seed() : read_seed(seed, file);
         file.note("seed", seed.empty() ? "drawn" : seed, !seed.empty());
--- a/src/app/node_config.h
+++ b/src/app/node_config.h
@@ -27,6 +27,9 @@
     Settings settings;
     Names names;
     ServerList known;  ///< the server list of last time; may be empty
+    std::optional<boost::asio::ip::tcp::endpoint> control;  ///< the second address, if there is one
+    std::optional<int> inherited;                           ///< the clients' listener, if it is handed down
+    std::string scratch;  ///< a folder that the node's processes share while it lives; may be empty
 };
 
 /// At the start GW_DISCOVERY goes before the file. On reload the file does: it alone can have changed.
--- a/src/base/buffer_pool.h
+++ b/src/base/buffer_pool.h
@@ -61,8 +61,12 @@
 
     /// Of the memory that the process may hold, free buffers keep a sixteenth; half is the most to be in use
     /// before whoever can do without a further one should.
-    explicit BufferPool(std::size_t memory_mb)
-        : kept_(memory_mb * kPerMb / 16), most_(memory_mb * kPerMb / 2) {}
+    explicit BufferPool(std::size_t memory_mb) { keep_to(memory_mb); }
+    void keep_to(std::size_t memory_mb) {
+        kept_ = memory_mb * kPerMb / 16;
+        most_ = memory_mb * kPerMb / 2;
+        if (free_.size() > kept_) free_.resize(kept_);
+    }
 
     bool scarce() const { return out_ >= most_; }
     Buffer take() {
@@ -76,7 +80,7 @@
 
 private:
     friend class Buffer;
-    std::size_t kept_, most_, out_ = 0;
+    std::size_t kept_ = 0, most_ = 0, out_ = 0;
     std::vector<std::unique_ptr<char[]>> free_;
 };
 
--- a/src/discovery/static_list.cpp
+++ b/src/discovery/static_list.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "ochrehub/hash.h"
+
 namespace ochrehub::discovery {
 namespace {
 
@@ -47,12 +49,14 @@
         ListEntry& entry = listing_.update.entries.emplace_back();
         entry.server = known == before.end() ? ++next_id_ : known->second;
         ids_.emplace(server.id(), entry.server);
+        entry.key = hashed(server.id());
         entry.zone = index_or_new(names_.zones, server.zone);
         entry.kind = index_or_new(names_.kinds, server.kind);
         entry.cell = server.cell;
         entry.size = server.size;
         entry.phase = server.drain ? Phase::Draining : Phase::Ready;
         listing_.addresses.push_back(server.address);
+        listing_.ids.push_back(server.id());
     }
     listed_(listing_);
 }
--- a/src/discovery/watcher.cpp
+++ b/src/discovery/watcher.cpp
@@ -139,6 +139,7 @@
         entry.key = hashed(member.id);  // numbers are given as servers come, and differ from node to node
         entry.server = known->second;
         listing.addresses.push_back(member.address);
+        listing.ids.push_back(member.id);
     }
     if (!gone_stays_) forget_gone(list);
     return listing;
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -67,6 +67,11 @@
     post(listing.update);
 }
 
+void Engine::by_hand(std::uint64_t key, bool out, TimePoint since) {
+    upstream_->by_hand(key, out);
+    post(ByHand{key, out, since});
+}
+
 void Engine::probe_ended(ServerId server, Duration elapsed, Outcome outcome, LoadReport report) {
     post(ProbeEnded{server, outcome, elapsed, report});
 }
@@ -106,6 +111,7 @@
         if (const auto* gone = std::get_if<ClientGone>(&event)) drop_if_over(gone->request);
     }
     draining_ = false;
+    if (counters_) counters_->avoided.set(std::int64_t(balancer_.avoided()));
 }
 
 void Engine::carry_out(const Action& action) {
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/scheduler.h"
+#include "engine/counters.h"
 #include "engine/types.h"
 
 namespace ochrehub {
@@ -31,6 +32,12 @@
     void depart(RequestId id);
 
     void listed(const Listing& listing);
+    /// Operators take a server out, or put it back cold at `since`; whether it is listed now does not matter.
+    void by_hand(std::uint64_t key, bool out, TimePoint since);
+    /// Another process of this node lives, or no longer does.
+    void twinned(bool twin) { post(Twinned{twin}); }
+    /// Where the module's count of avoided servers goes; may be null.
+    void count_in(Counters* counters) { counters_ = counters; }
     void attempt_ended(AttemptId id, AttemptResult result) override;
     void probe_ended(ServerId server, Duration elapsed, Outcome outcome, LoadReport report) override;
 
@@ -75,6 +82,7 @@
     Balancer balancer_;
     Duration grace_;
     Upstream* upstream_ = nullptr;
+    Counters* counters_ = nullptr;
     Registry* registry_ = nullptr;
     TimerId wake_ = 0;
     std::unordered_map<RequestId, Request> requests_;
--- a/src/engine/types.h
+++ b/src/engine/types.h
@@ -55,6 +55,7 @@
 struct Listing {
     ListUpdate update;
     std::vector<std::string> addresses;  ///< one for each entry
+    std::vector<std::string> ids;        ///< ... and what operators call it; empty where nobody does
 };
 
 /// Hears how attempts and probes end. Called exactly once for each that was started and not called off.
@@ -76,6 +77,9 @@
     virtual bool stop(AttemptId id) = 0;
     virtual void probe(ServerId server, Duration limit) = 0;
     virtual void close_idle(ServerId server) = 0;
+    /// Operators have taken a server out, or put it back: nothing that has not begun goes to one that is out. For an
+    /// upstream whose connections are up at once the module's own word is enough.
+    virtual void by_hand(std::uint64_t /*key*/, bool /*out*/) {}
 };
 
 /// Whatever tells of servers; answers each call of watch() with at least one listing, a failed one included.
--- a/src/figures/figures.cpp
+++ b/src/figures/figures.cpp
@@ -59,8 +59,9 @@
     for (const std::string& name : names) values.push_back(tag_value(format, name));
 }
 
-Figures::Figures(boost::asio::io_context& io, const Names& names)
+Figures::Figures(boost::asio::io_context& io, const Names& names, Counters* counters)
     : io_(io),
+      counters_(counters),
       classes_(names.classes),
       tenants_(names.tenants),
       gauges_(classes_.names.size() * tenants_.names.size()),
@@ -98,15 +99,20 @@
     });
 }
 
-Figures::Request Figures::came(int class_index, int tenant, Steady::time_point heard) {
-    Request request{classes_.slot(class_index), tenants_.slot(tenant), heard};
+Figures::Request Figures::came(int class_index, int tenant, Steady::time_point heard, bool whole) {
+    Request request{classes_.slot(class_index), tenants_.slot(tenant), heard, class_index, whole};
+    if (counters_ && whole) counters_->current.add();
     ++inflight(request);
     gauges_[request.class_slot * tenants_.names.size() + request.tenant_slot].seen = true;
     return request;
 }
 
 void Figures::answered(const Request& request, int code) {
-    --inflight(request);
+    left(request);
+    if (counters_ && request.whole && request.counted != kNone) {
+        Counters::Class& c = counters_->classes[std::size_t(request.counted)];
+        (code < 400 ? c.answered : code == 429 || code == 503 ? c.deferred : c.errored).add();
+    }
     if (!told_.on) return;
     ++counts_[{request.class_slot, request.tenant_slot, code}];
     auto took = std::chrono::round<std::chrono::milliseconds>(Steady::now() - request.heard);
@@ -114,6 +120,11 @@
             classes_.values[request.class_slot], tenants_.values[request.tenant_slot], code});
 }
 
+void Figures::left(const Request& request) {
+    --inflight(request);
+    if (counters_ && request.whole) counters_->current.add(-1);
+}
+
 void Figures::append(const Figure& figure) {
     if (told_.format == Format::Influx) {  // two points of one series with one time stamp would be one to it
         auto now = std::chrono::system_clock::now().time_since_epoch();
--- a/src/figures/figures.h
+++ b/src/figures/figures.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "config/table.h"
+#include "engine/counters.h"
 #include "engine/names.h"
 #include "figures/lines.h"
 #include "figures/outlet.h"
@@ -42,7 +43,7 @@
     static constexpr std::size_t kBufferMost = std::size_t{512} * 1024;
 
     /// Off until it is told otherwise.
-    Figures(boost::asio::io_context& io, const Names& names);
+    Figures(boost::asio::io_context& io, const Names& names, Counters* counters = nullptr);
 
     /// What the operators' file says, at the start and on a reload. Sends first what there is by the old
     /// settings.
@@ -52,13 +53,15 @@
     struct Request {
         std::size_t class_slot, tenant_slot;
         Steady::time_point heard;  ///< its last byte
+        int counted = kNone;       ///< the class that the counters have it under, if they do
+        bool whole = true;
     };
-    /// kNone: no known class or tenant.
-    Request came(int class_index, int tenant, Steady::time_point heard);
+    /// kNone: no known class or tenant. `whole`: all of it was read; the counters have none but such.
+    Request came(int class_index, int tenant, Steady::time_point heard, bool whole = true);
     /// The last byte of its answer has gone out.
     void answered(const Request& request, int code);
     /// It gets no answer, or not all of one.
-    void left(const Request& request) { --inflight(request); }
+    void left(const Request& request);
 
     /// Sends all there is, as far as it goes without waiting.
     void flush();
@@ -95,6 +98,7 @@
     void each_interval();
 
     boost::asio::io_context& io_;
+    Counters* counters_;
     Told told_;
     Axis classes_, tenants_;
     std::vector<Gauge> gauges_;  // of each class and tenant
--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -145,7 +145,7 @@
     if (unread_.view().empty()) unread_.release();
     if (request->target == "/healthz") {
         if (request->method != "GET") return reject(405, "Allow: GET\r\n");
-        return reject(front_.engine().has_servers() && !front_.draining() ? 200 : 503);
+        return reject(front_.serves() ? 200 : 503);
     }
     CallReader::Reading reading = front_.calls().read(*request, came_);
     figured_ = front_.figures().came(reading.call.request.class_index, reading.call.request.tenant, heard_);
@@ -258,7 +258,7 @@
 /// The same to a request that is not whole or cannot be read, of what is known of it so far.
 void ClientSession::reject_unread(int status, const std::string& extra) {
     const RequestArrived known = front_.calls().read(parser_->message(), came_).call.request;
-    figured_ = front_.figures().came(known.class_index, known.tenant, heard_);
+    figured_ = front_.figures().came(known.class_index, known.tenant, heard_, false);
     reject(status, extra);
 }
 
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -33,13 +33,14 @@
 }
 
 void Connection::exchange(std::string head, std::shared_ptr<const HttpMessage> request, Done done,
-                          std::function<bool()> may_send) {
+                          std::function<bool()> may_send, std::function<void()> on_written) {
     ++turn_;
     lost_ = nullptr;
     head_only_ = request && request->method == "HEAD";
     outgoing_.set(std::move(head), std::move(request));
     done_ = std::move(done);
     may_send_ = std::move(may_send);
+    on_written_ = std::move(on_written);
     written_ = false;
     expect_answer();
     interims_ = 0;
@@ -82,6 +83,7 @@
     if (state == Outgoing::State::Failed) return finish(End::NotSent);
     if (state == Outgoing::State::Whole) {
         written_ = true;
+        if (on_written_) on_written_();
         return wait_for_answer();
     }
     socket_.async_wait(asio::ip::tcp::socket::wait_write,
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -37,10 +37,10 @@
                bool ends_whole = false);
 
     /// Connects if it has to, writes, reads the answer. `request` may be null: a head alone. `may_send`, if
-    /// given, is asked once the connection is up. `done` is never called before this returns, and not after
-    /// close().
+    /// given, is asked once the connection is up; `written` hears that the request was written whole. `done` is never
+    /// called before this returns, and not after close().
     void exchange(std::string head, std::shared_ptr<const HttpMessage> request, Done done,
-                  std::function<bool()> may_send = nullptr);
+                  std::function<bool()> may_send = nullptr, std::function<void()> on_written = nullptr);
 
     /// Ends it at once. True if a request had been written whole.
     bool close();
@@ -75,6 +75,7 @@
     bool head_only_ = false;  // what was asked for has no body
     Outgoing outgoing_;
     std::function<bool()> may_send_;
+    std::function<void()> on_written_;
     Done done_;
     bool written_ = false;
     std::optional<MessageParser<false>> parser_;
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -37,7 +37,7 @@
 
 Front::Front(asio::io_context& io, BufferPool& pool, Engine& engine, figures::Figures& figures,
              const Settings& settings, Names names, const asio::ip::tcp::endpoint& listen,
-             DescriptorBudget budget, std::uint64_t seed, const Manner& manner)
+             std::optional<int> inherited, DescriptorBudget budget, std::uint64_t seed, const Manner& manner)
     : io_(io),
       pool_(pool),
       engine_(engine),
@@ -50,22 +50,45 @@
       retry_(io),
       sweep_(io),
       door_(Door::of(settings, budget.asked, seed)),
-      sessions_(budget) {
-    acceptor_.open(protocol_);
-    acceptor_.set_option(asio::socket_base::reuse_address(true));
-    acceptor_.bind(listen);
+      sessions_(budget),
+      shared_(inherited.has_value()) {
+    if (shared_) {
+        acceptor_.assign(protocol_, *inherited);
+    } else {
+        acceptor_.open(protocol_);
+        acceptor_.set_option(asio::socket_base::reuse_address(true));
+        acceptor_.bind(listen);
+    }
     hand_down(acceptor_);
     acceptor_.listen(asio::socket_base::max_listen_connections);
-    accept();
     sweep();
 }
 
+void Front::open() {
+    open_ = true;
+    accept();
+}
+
+void Front::drain() {
+    draining_ = true;
+    if (!shared_) return;
+    error_code ignored;
+    if (std::exchange(stood_, false)) listen(acceptor_.native_handle(), asio::socket_base::max_listen_connections);
+    acceptor_.close(ignored);  // never shut down: it is the other process's too
+}
+
+void Front::keep_to(DescriptorBudget budget) {
+    sessions_.keep_to(budget);
+    accept();
+}
+
 void Front::accept() {
-    if (accepting_) return;
+    if (accepting_ || !open_ || !acceptor_.is_open()) return;
     if (!sessions_.may_accept()) return;  // until one closes
     accepting_ = true;
     acceptor_.async_wait(asio::socket_base::wait_read, [this](error_code error) {
         accepting_ = false;
+        if (!acceptor_.is_open()) return;
         if (!error) error = accept_some();
         if (!error) return accept();
         // Out of descriptors, say. The connection still waits in the kernel and may hold a request.
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_set>
 #include <utility>
@@ -30,16 +31,26 @@
 
 class Front {
 public:
-    /// Throws boost::system::system_error where it cannot listen.
+    /// Listens at `listen`, or on the descriptor `inherited`, which other processes hold too. Throws
+    /// boost::system::system_error where it cannot.
     Front(boost::asio::io_context& io, BufferPool& pool, Engine& engine, figures::Figures& figures,
           const Settings& settings, Names names, const boost::asio::ip::tcp::endpoint& listen,
-          DescriptorBudget budget, std::uint64_t seed, const Manner& manner = {});
+          std::optional<int> inherited, DescriptorBudget budget, std::uint64_t seed, const Manner& manner = {});
 
-    /// From now on each answer closes its connection; new ones are still taken.
-    void drain() { draining_ = true; }
+    /// Connections are accepted from now on.
+    void open();
+    /// From now on each answer closes its connection. New ones are still taken, but from a listener that others hold
+    /// too: whatever waits there is theirs.
+    void drain();
     bool draining() const { return draining_; }
+    /// A request that came now would be served, as far as servers are.
+    bool serves() const { return open_ && !draining_ && engine_.has_servers(); }
     /// Nothing is being read, decided or written, nor lies unread in a connection.
     bool quiet();
+    /// No client is connected.
+    bool empty() const { return sessions_.held() == 0; }
+    /// Holds no more descriptors than this from now on.
+    void keep_to(DescriptorBudget budget);
 
     BufferPool& pool() { return pool_; }
     Engine& engine() { return engine_; }
@@ -100,6 +111,8 @@
     LagMeter lag_;
     ReadTurn turn_;
     std::deque<std::shared_ptr<ClientSession>> to_read_;
+    bool shared_;        // the listener, with other processes
+    bool open_ = false;  // has begun to accept
     bool accepting_ = false;
     int read_ = 0;        // requests since connections were last accepted
     bool stood_ = false;  // the queue, when the listener was last told
--- a/src/http/server_pool.cpp
+++ b/src/http/server_pool.cpp
@@ -58,7 +58,8 @@
 }  // namespace
 
 ServerPool::ServerPool(asio::io_context& io, BufferPool& pool, UpstreamEvents& events,
-                       const Settings& settings, std::size_t most_connections, const Manner& manner)
+                       const Settings& settings, std::size_t most_connections, const Manner& manner,
+                       Counters* counters)
     : io_(io),
       pool_(pool),
       events_(events),
@@ -67,6 +68,7 @@
       removal_binds_(!settings.removal_not_binding),
       most_connections_(most_connections),
       manner_(manner),
+      counters_(counters),
       sweep_(io) {
     retire_idle();
 }
@@ -81,6 +83,7 @@
         auto address = parse_address(listing.addresses[i]);
         if (address != server.address) close_idle(entry.server);  // it has moved
         server.address = address;
+        server.key = entry.key != 0 ? entry.key : entry.server;
         server.sendable = entry.phase == Phase::Ready || (entry.phase == Phase::Gone && !removal_binds_);
     }
     // Nothing new goes to the others, and what is out there needs no more than its connection.
@@ -137,7 +140,10 @@
             attempt_done(id, to, used, std::move(result));
         },
         // Guards rule 3: a drain may be told while the connection is still coming up.
-        [this, to] { return may_send(to); });
+        [this, to] { return may_send(to); },
+        [this] {
+            if (counters_) counters_->sends.add();
+        });
 }
 
 void ServerPool::end_later(AttemptId id, Outcome outcome) {
@@ -229,6 +235,19 @@
     server->idle.clear();
 }
 
+void ServerPool::by_hand(std::uint64_t key, bool out) {
+    if (!out) return void(out_.erase(key));
+    out_.insert(key);
+    for (const auto& [id, server] : servers_)
+        if (server.key == key) close_idle(id);
+}
+
+void ServerPool::keep_to(std::size_t most_connections) {
+    most_connections_ = most_connections;
+    while (connections_ > most_connections_ && make_room()) {
+    }
+}
+
 // Closes what servers are about to close: a request written after that would be lost.
 void ServerPool::retire_idle() {
     auto now = Connection::Steady::now();
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -4,8 +4,10 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <map>
 #include <queue>
 #include <random>
+#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -21,8 +23,7 @@
 constexpr Duration kProbeInterval{2000};    // longest interval; the design's, below its bound of 5 s
 constexpr Duration kProbeIntervalMin{100};  // shortest: many service times, so that probes stay a sample
 constexpr Duration kProbeTimeout{300};      // the design's; each probe is timed out alone
-constexpr Duration kProbeRest{250},
-    kProbeRestMost{4000};                // behind a probe answered badly; doubles, below 5 s
+constexpr Duration kProbeRest{250}, kProbeRestMost{4000};  // behind a bad answer to a probe; doubles
 constexpr double kPanicShare = 0.5;      // more servers Unhealthy than this: one success is enough
 constexpr double kProbeSpend = 0.002;    // share of the result spent on probes by interval
 constexpr double kLookSpend = 0.016;     // ... and at most on looks for one request
@@ -106,13 +107,12 @@
     TimePoint probed_at{};   // when the last probe or look that was answered went out
     bool probe_open = false, probe_counts = false;  // one is out; by interval, else a look, which says little
     std::uint64_t probe_epoch = 0;
-    double turn = 0;           // current weight of the smooth weighted rotation
-    int own = 0;               // own attempts in flight
-    double foreign = 0;        // others', as of foreign_at
-    int lies = 0;              // straight reports that this gateway's own requests contradict
-    double pace = kPaceUsual;  // answer time over the class's floor, smoothed
-    double weight = 1;         // as of weight_at
-    double limit = 0;
+    double turn = 0;               // current weight of the smooth weighted rotation
+    int own = 0;                   // own attempts in flight
+    double foreign = 0;            // others', as of foreign_at
+    int lies = 0;                  // straight reports that this gateway's own requests contradict
+    double pace = kPaceUsual;      // answer time over the class's floor, smoothed
+    double weight = 1, limit = 0;  // as of weight_at; of own requests in flight
     TimePoint probe_sent{}, foreign_at{}, pace_at{}, limit_cut{}, last_send{}, used_at{};
     TimePoint weight_at = TimePoint::min();
     Duration last_elapsed{};
@@ -183,6 +183,8 @@
             looks_most_ = std::max(2 * int(kLookWidth), int(kLookSpend / std::max(set_.price_probe, 1e-4)));
     }
 
+    std::size_t avoided() const { return avoided_; }
+
     void handle(TimePoint now, const Event& event, Actions& actions) {
         now_ = now;
         out_ = &actions;
@@ -220,6 +222,20 @@
         subset_stale_ = true;
     }
 
+    // Guards against discovery, which knows nothing of servers out by hand: one that it lists, drops and
+    // lists again stays out until the call back, and is cold then, since operators restart it meanwhile.
+    void on(const ByHand& e) {
+        subset_stale_ = true;
+        std::erase_if(back_, [this](const auto& b) { return now_ - b.second > set_.cold_time; });
+        if (e.out) return void(out_by_hand_.insert(e.key));
+        out_by_hand_.erase(e.key);
+        back_[e.key] = e.since;
+        for (Server& s : servers_)
+            if (!s.free && s.entry.key == e.key) start_anew(s);
+    }
+
+    void on(const Twinned& e) { part_ = e.twin ? 0.5 : 1; }
+
     // Guards against gateways that call together: a call that waits too long is work lost for all of them.
     Duration fleet_calls() const { return std::min(kListEach * set_.balancers, kListMost); }
 
@@ -258,28 +274,34 @@
         Server& s = servers_[it->second];
         bool restarted = entry.last_start && (!s.entry.last_start || *entry.last_start > *s.entry.last_start);
         bool returned = !s.named && entry.phase != Phase::Gone && !set_.removal_not_binding;
-        if (fresh || restarted || returned) {  // starts anew: Unknown, taking traffic
-            s.health = Health::Unknown;
-            s.failures = s.successes = s.silent = s.lies = 0;
-            s.limit = 0;  // set once it is known how many share it
-            s.pace = fleet_pace();
-            s.was_down = s.connected = false;
-            s.cold_until = TimePoint::min();
-            s.turn = -uniform();  // gateways that start together do not all begin with the same server
-        }
         if (restarted && (!s.started || *entry.last_start > *s.started)) s.started = entry.last_start;
         s.listed = s.named = entry.phase != Phase::Gone;
         s.seen_draining = entry.phase == Phase::Draining || (s.seen_draining && entry.phase == Phase::Gone);
         s.entry = entry;
         if (s.entry.size <= 0) s.entry.size = 1;
         if (s.entry.key == 0) s.entry.key = s.id;
+        if (fresh || restarted || returned) start_anew(s);
+    }
+
+    void start_anew(Server& s) {  // Unknown, taking traffic
+        s.health = Health::Unknown;
+        s.failures = s.successes = s.silent = s.lies = 0;
+        s.limit = 0;  // set once it is known how many share it
+        s.pace = fleet_pace();
+        s.was_down = s.connected = false;
+        s.cold_until = TimePoint::min();
+        s.turn = -uniform();  // gateways that start together do not all begin with the same server
+        if (auto b = back_.find(s.entry.key); b != back_.end()) s.started = std::max(s.started, {b->second});
     }
 
     bool in_use(const Server& s) const {  // rule 3: nothing from the moment a drain or removal is known
         if (s.seen_draining || s.entry.phase == Phase::Draining) return false;
+        if (out_by_hand_.contains(s.entry.key)) return false;
         return s.listed || set_.removal_not_binding;
     }
 
+    bool all_out() const { return order_.empty() && !out_by_hand_.empty(); }  // nobody comes back soon
+
     // ---- Subset
     // Exception: where there are many gateways or few requests, each uses and probes a subset, as large as
     // one more server gains more than it costs. Guards against probes, connections and handshakes that grow
@@ -287,6 +309,7 @@
     void choose_members() {
         if (!subset_stale_ && now_ - subset_at_ < kSubsetAge) return;
         subset_stale_ = false, subset_at_ = now_;
+        auto is_listed = [](const Server& s) { return s.listed; };
         order_.clear();
         here_ = 0, total_size_ = 0;
         for (int wanted = 0; wanted < 3; ++wanted) {
@@ -300,7 +323,7 @@
         share_out_servers();
         for (Server& s : servers_) s.member = false;
         members_.clear();
-        unhealthy_ = 0;
+        unhealthy_ = 0, avoided_ = std::size_t(std::count_if(servers_.begin(), servers_.end(), is_listed));
         for (std::size_t i : order_) {
             Server& s = servers_[i];
             if (s.limit <= 0) {  // gateways that are told together do not send together
@@ -309,6 +332,7 @@
             }
             bool down = s.health == Health::Unhealthy;
             unhealthy_ += down;
+            avoided_ -= s.listed && !down;
             if (!down && members_.size() >= width_) continue;
             s.member = !down;
             if (s.member) members_.push_back(i);
@@ -490,8 +514,8 @@
             s.cold_draw = uniform();
         }
         double senders = s.users > 0 ? s.users : 1.5 * sharers(), sent = 0;
-        double budget = kColdMargin * set_.overload_factor * share(s) * carried(s) * set_.tip_after.count() /
-                        1000 / std::min(double(set_.balancers), kColdSenders * senders);
+        double budget = part_ * kColdMargin * set_.overload_factor * share(s) * carried(s);
+        budget *= set_.tip_after.count() / 1000 / std::min(double(set_.balancers), kColdSenders * senders);
         for (const auto& [at, its] : s.cold_sends) sent += its;
         budget *= std::min(1.0, fleet_pace() / pace(s));  // its own answers say if it is a slow one
         double chance = kColdReserve * std::sqrt(sent * usual);
@@ -741,7 +765,7 @@
 
     bool over_quota(int tenant) {  // a token bucket of one second at this gateway's even part of the quota
         auto& [tokens, at] = tenants_[std::size_t(tenant)];
-        double quota = set_.tenants[std::size_t(tenant)].quota_rps / set_.balancers;
+        double quota = part_ * set_.tenants[std::size_t(tenant)].quota_rps / set_.balancers;
         if (quota <= 0) return false;
         tokens = std::min(std::max(kBurst, quota), tokens + quota * (now_ - at).count() / 1000);
         at = now_;
@@ -758,7 +782,7 @@
     }
 
     void enqueue(Request& r) {
-        if (start_by(r).count() <= 0) return give_up(r);
+        if (start_by(r).count() <= 0 || all_out()) return give_up(r);
         r.queued = true;
         // Highest worth for the work first, as work is known now; among equals the newest: it can still be in
         // time. Guards against newest last while all slow down and usual times rise.
@@ -770,6 +794,8 @@
     double urgency(const Request& r) const { return r.worth / std::max(1.0, state(r).floor_ms); }
 
     void serve_queue() {
+        if (all_out())
+            for (Request* r : queue_) give_up(*r);
         auto left = [](const Request* r) { return !r->queued; };
         std::erase_if(queue_, left);  // also where nothing is tried: what is over is about to be dropped
         if (queue_.empty() || now_ < resting_until_) return;
@@ -995,6 +1021,10 @@
            total_size_ = 1, retry_tokens_ = kBurst;
     TimePoint resting_until_{}, queue_due_{}, subset_at_{};
     int rewatch_tries_ = 0;
+    std::set<std::uint64_t> out_by_hand_;      // keys
+    std::map<std::uint64_t, TimePoint> back_;  // ... of those put back of late, and when
+    std::size_t avoided_ = 0;
+    double part_ = 1;  // of this gateway's budgets: half while another process of it lives
 };
 
 Balancer::Balancer(Settings settings, std::uint64_t seed)
@@ -1007,4 +1037,8 @@
     rules_->handle(now, event, actions);
 }
 
+std::size_t Balancer::avoided() const {
+    return rules_->avoided();
+}
+
 }  // namespace ochrehub
--- a/src/sessions/session_table.h
+++ b/src/sessions/session_table.h
@@ -46,6 +46,13 @@
         if (to == Standing::Busy) keep_to_share();
     }
 
+    /// No more than this from now on, as far as those that are over it can go.
+    void keep_to(DescriptorBudget budget) {
+        budget_ = budget;
+        while (held() > budget_.clients + budget_.clients_over && make_room()) {
+        }
+    }
+
     std::size_t held() const {
         std::size_t sum = 0;
         for (const Sessions& some : sessions_) sum += some.size();
--- /dev/null
+++ b/src/takeover/hands.h
@@ -0,0 +1,31 @@
+// What operators have said of servers by hand, and its form in a file: whole, or not to be used.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "ochrehub/rules.h"
+
+namespace ochrehub::takeover {
+
+struct Hands {
+    std::set<std::string> out;               ///< ids of servers that are out
+    std::map<std::string, TimePoint> back;   ///< when those were put back that are out no more
+
+    /// False: nothing changes.
+    bool take_out(const std::string& id);
+    bool put_back(const std::string& id, TimePoint now);
+    /// Drops returns that are older than `age`: those servers are warm.
+    void forget(TimePoint now, Duration age);
+    bool operator==(const Hands&) const = default;
+};
+
+/// `node`: its name, which must be that of whoever reads it.
+std::string written(const Hands& hands, std::string_view node);
+/// Nothing where `text` is cut, changed, of another version or another node's; `why` says which.
+std::optional<Hands> read(std::string_view text, std::string_view node, std::string& why);
+
+}  // namespace ochrehub::takeover
