--- a/include/ochrehub/rules.h
+++ b/include/ochrehub/rules.h
@@ -109,6 +109,13 @@
     TimePoint give_up_at{};
     bool client_repeat = false;
     std::optional<Duration> effort;
+    /// Its body is still coming, and goes to a server as it comes: nothing is late before it is there.
+    bool uploading = false;
+};
+/// The last byte of such a request has come: its client's time runs from now.
+struct Uploaded {
+    RequestId request = 0;
+    TimePoint give_up_at{};
 };
 struct AttemptEnded {
     RequestId request = 0;
@@ -118,6 +125,7 @@
     Duration elapsed{};
     bool concluded = false;  ///< the request has its final answer
     LoadReport report;
+    bool replayable = true;  ///< the request can be sent again whole
 };
 struct StreamStarted {
     RequestId request = 0;
@@ -145,7 +153,7 @@
     bool twin = false;
 };
 using Event = std::variant<ListUpdate, RequestArrived, AttemptEnded, StreamStarted, ProbeEnded, ClientGone, Woken,
-                           ByHand, Twinned>;
+                           ByHand, Twinned, Uploaded>;
 
 // Actions, to be carried out in order.
 struct Forward {  ///< start the next attempt (numbered 0, 1, ... per request)
--- a/src/base/buffer_pool.h
+++ b/src/base/buffer_pool.h
@@ -69,6 +69,8 @@
     }
 
     bool scarce() const { return out_ >= most_; }
+    /// So much is in use that what can wait for a buffer must.
+    bool dry() const { return out_ >= most_ + most_ / 4; }
     Buffer take() {
         ++out_;
         if (free_.empty())
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -26,17 +26,9 @@
     request.caller = std::move(caller);
     request.message = std::move(call.message);
     request.give_up_at = call.request.give_up_at;
+    request.uploading = call.request.uploading;
     ++unanswered_;
-    // Guards against a request that nothing answers: whatever went wrong, it fails inside the rules' grace.
-    request.overdue = scheduler_.call_at(call.request.give_up_at + grace_ / 2, [this, id] {
-        Request* late = find(id);
-        if (!late || late->answered) return;
-        late->overdue = 0;
-        log_line(LogLevel::Error, "request %llu was left unanswered", static_cast<unsigned long long>(id));
-        conclude(*late, {Verdict::Failed, {}, true, nullptr});
-        post(ClientGone{id});
-        drop_if_over(id);
-    });
+    if (!request.uploading) limit(request);
     call.request.request = id;
     // Behind the front's own work: it must know the id before it can hear the answer.
     arrived_.push_back(call.request);
@@ -48,6 +40,34 @@
     return id;
 }
 
+// Guards against a request that nothing answers: whatever went wrong, it fails inside the rules' grace.
+void Engine::limit(Request& request) {
+    request.overdue = scheduler_.call_at(request.give_up_at + grace_ / 2, [this, id = request.id] {
+        Request* late = find(id);
+        if (!late || late->answered) return;
+        late->overdue = 0;
+        log_line(LogLevel::Error, "request %llu was left unanswered", static_cast<unsigned long long>(id));
+        conclude(*late, {Verdict::Failed, {}, true, nullptr});
+        post(ClientGone{id});
+        drop_if_over(id);
+    });
+}
+
+void Engine::uploaded(RequestId id, TimePoint give_up_at) {
+    Request* request = find(id);
+    if (!request || request->answered) return;
+    request->uploading = false;
+    request->give_up_at = give_up_at;
+    limit(*request);
+    for (std::size_t k = 0; k < request->attempts.size(); ++k) {
+        Attempt& attempt = request->attempts[k];
+        if (attempt.ended) continue;
+        attempt.sent = scheduler_.now();  // a server begins with the last byte
+        attempt.limit = scheduler_.call_at(give_up_at, [this, a = AttemptId{id, int(k)}] { attempt_late(a); });
+    }
+    post(Uploaded{id, give_up_at});
+}
+
 void Engine::depart(RequestId id) {
     Request* request = find(id);
     if (!request || request->answered) return;
@@ -163,7 +183,7 @@
     }
     TimePoint until = request->give_up_at;
     if (action.limit.count() > 0) until = std::min(until, now + action.limit);
-    attempt.limit = scheduler_.call_at(until, [this, id] { attempt_late(id); });
+    if (!request->uploading) attempt.limit = scheduler_.call_at(until, [this, id] { attempt_late(id); });
     upstream_->start(id, action.server, request->message, until - now);
 }
 
@@ -189,7 +209,7 @@
                  {Verdict::Served, {}, false, std::move(result.message), scheduler_.now() - attempt.sent});
     request->timed_out = result.outcome == Outcome::Timeout;
     post(AttemptEnded{id.request, id.attempt, attempt.server, result.outcome, scheduler_.now() - attempt.sent,
-                      request->answered, result.report});
+                      request->answered, result.report, request->message->replayable()});
 }
 
 bool Engine::conclude(Request& request, Reply reply) {
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -28,6 +28,8 @@
 
     /// Takes a request; `caller` hears its final answer. Never answers before it returns.
     RequestId submit(Call call, std::shared_ptr<Caller> caller);
+    /// The body of a call that was submitted as uploading is whole; its client gives up at `give_up_at`.
+    void uploaded(RequestId id, TimePoint give_up_at);
     /// The client of this request has gone: nothing is owed any more.
     void depart(RequestId id);
 
@@ -63,6 +65,7 @@
         int open = 0;
         bool answered = false;
         bool timed_out = false;
+        bool uploading = false;
         TimerId overdue = 0;
     };
 
@@ -70,6 +73,7 @@
     void drain();
     void carry_out(const Action& action);
     void forward(const Forward& action);
+    void limit(Request& request);
     void attempt_late(AttemptId id);
     void end_attempt(AttemptId id, AttemptResult result);
     bool conclude(Request& request, Reply reply);
--- a/src/engine/types.h
+++ b/src/engine/types.h
@@ -14,6 +14,8 @@
 /// What a front and an upstream pass through the engine unread. Both must agree on what it is.
 struct Message {
     virtual ~Message() = default;
+    /// It can still be sent whole, from its first byte.
+    virtual bool replayable() const { return true; }
 };
 
 /// A request as a front hands it over.
--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -19,6 +19,9 @@
 
 constexpr std::chrono::seconds kWriteMost{10};  // an answer to a client that does not read
 constexpr std::chrono::seconds kLingerMost{1};
+constexpr std::chrono::seconds kUploadLingerMost{10};  // a long body goes on coming while its client hears of the answer
+constexpr std::chrono::milliseconds kPieceMost{2500};  // between two pieces of a long body
+constexpr double kSlowest = 32;                        // bytes a millisecond of a short one, once its head is there
 std::string retry_after(Duration back) {
     if (back.count() <= 0) return {};
     std::array<char, 48> text;
@@ -37,7 +40,7 @@
     place_ = place;
     error_code error;
     socket_.non_blocking(true, error);
-    parser_.emplace(front_.pool());
+    parser_.emplace(front_.pool(), front_.manner().body_bytes());
     enter(State::Reading);
     // A loop that is behind most likely finds its request there.
     front_.behind() ? front_.read_later(shared_from_this()) : wait_to_read();
@@ -98,6 +101,7 @@
             stand(first_ ? Standing::Starting : Standing::Busy);
         }
         heard_ = Steady::now();
+        body_read_ += got.bytes;
         unread_.grow(got.bytes);
         if (parse()) return;
     }
@@ -113,14 +117,15 @@
         std::size_t used = parser_->put(asio::buffer(unread_.view().data(), unread_.view().size()), bad);
         unread_.drop_front(used);
         if (bad == beast::error::need_more) break;
-        if (bad) {
+        if (bad && bad != beast::error::need_buffer) {
+            close_after_ = true;
             int status = bad == beast::error::header_limit ? 431
                          : bad == beast::error::body_limit ? 413
                                                            : 400;
-            close_after_ = true;
             reject_unread(status);
             return true;
         }
+        if (!parser_->is_done() && parser_->is_header_done() && parser_->long_body()) break;
         if (parser_->is_done()) {
             dispatch();
             return true;
@@ -133,22 +138,97 @@
         error_code ignored;
         socket_.write_some(asio::buffer("HTTP/1.1 100 Continue\r\n\r\n", 25), ignored);
     }
+    if (parser_->is_header_done() && parser_->long_body()) {
+        begin_upload();
+        return true;
+    }
     return false;
 }
 
+// A body that no buffer holds goes to a server as it comes. Its request is decided on now; its time runs from its last
+// byte.
+void ClientSession::begin_upload() {
+    upload_ = std::make_shared<BodyStream>(front_.io(), front_.pool());
+    upload_full_ = false;
+    parser_->pass_rest_to(upload_);
+    dispatch();
+    if (state_ == State::Waiting) read_upload();
+}
+
+void ClientSession::read_upload() {
+    if (state_ != State::Waiting || !upload_) return;
+    for (int reads = 0; parse_upload() && reads < kReadsAtOnce; ++reads) {
+        if (!unread_) unread_ = front_.pool().take();
+        Received got = receive(socket_, unread_.free_space(), unread_.room());
+        if (got.error == asio::error::would_block) break;
+        if (got.error) return close();
+        heard_ = Steady::now();
+        came_ = front_.engine().now() - got.age;
+        unread_.grow(got.bytes);
+    }
+    if (state_ != State::Waiting || !upload_ || upload_full_) return;
+    if (unread_.view().empty()) unread_.release();
+    socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                       [self = shared_from_this(), watch = ++watch_](error_code error) {
+                           if (watch != self->watch_ || self->state_ != State::Waiting) return;
+                           error ? self->close() : self->read_upload();
+                       });
+}
+
+/// False: it needs no more bytes now.
+bool ClientSession::parse_upload() {
+    while (!unread_.view().empty()) {
+        error_code bad;
+        std::size_t used = parser_->put(asio::buffer(unread_.view().data(), unread_.view().size()), bad);
+        unread_.drop_front(used);
+        if (bad == boost::beast::http::error::need_buffer) {
+            upload_full_ = true;
+            upload_->wait_for_room([self = shared_from_this(), upload = upload_.get()] {
+                if (self->upload_.get() != upload) return;
+                self->upload_full_ = false;
+                self->heard_ = Steady::now();
+                self->read_upload();
+            });
+            return false;
+        }
+        if (bad == boost::beast::http::error::need_more && unread_.room() > 0) return true;
+        if (bad) {
+            close();
+            return false;
+        }
+        if (parser_->is_done()) {
+            end_upload();
+            return false;
+        }
+    }
+    return true;
+}
+
+void ClientSession::end_upload() {
+    std::exchange(upload_, nullptr)->end();
+    figured_ = front_.figures().came(class_, tenant_, heard_);
+    if (unread_.view().empty()) unread_.release();
+    front_.engine().uploaded(request_, came_ + patience_);
+    if (state_ == State::Waiting) watch_client();
+}
+
 void ClientSession::dispatch() {
     again_ = !std::exchange(first_, false);
     front_.was_read();
     stand(Standing::Busy);
     close_after_ = !parser_->keep_alive() || overloaded_;
     std::shared_ptr<HttpMessage> request = parser_->take();
+    http_1_0_ = request->http_1_0;
     if (unread_.view().empty()) unread_.release();
     if (request->target == "/healthz") {
         if (request->method != "GET") return reject(405, "Allow: GET\r\n");
         return reject(front_.serves() ? 200 : 503);
     }
     CallReader::Reading reading = front_.calls().read(*request, came_);
-    figured_ = front_.figures().came(reading.call.request.class_index, reading.call.request.tenant, heard_);
+    class_ = reading.call.request.class_index, tenant_ = reading.call.request.tenant;
+    patience_ = reading.patience;
+    reading.call.request.uploading = bool(upload_);
+    if (!upload_) figured_ = front_.figures().came(class_, tenant_, heard_);
     entered_ = front_.engine().now();
     knock_ = {reading.call.request.class_index, reading.call.request.tenant, reading.call.request.client_repeat,
               number_};
@@ -179,7 +259,7 @@
     reading.call.message = std::move(request);
     enter(State::Waiting);
     request_ = front_.engine().submit(std::move(reading.call), shared_from_this());
-    watch_client();
+    if (!upload_) watch_client();
 }
 
 // Here and not where attempts start: each of them sends the same.
@@ -229,13 +309,19 @@
 /// An answer of a server's.
 void ClientSession::pass_on(std::shared_ptr<const HttpMessage> message) {
     int status = message->status;
+    bool until_close = message->rest && !message->length && http_1_0_;
+    if (until_close || upload_) close_after_ = true;
     bool last = close_after_ || front_.draining();
-    std::optional<std::size_t> length = message->body_view().size();
+    std::optional<std::uint64_t> length = message->body_view().size();
+    if (message->rest) length = message->length;
     if (status == 204 || status == 304)
         length.reset();
     else if (head_only_)  // how long the body would have been, where the server says so
-        length = read_number<std::size_t>(message->header("Content-Length"));
+        length = read_number<std::uint64_t>(message->header("Content-Length"));
     std::string head = answer_head(status, length, last);
+    bool chunked = message->rest && !length && !until_close;
+    if (chunked) put_header(head, "Transfer-Encoding", "chunked");
+    if (http_1_0_ && !last) put_header(head, "Connection", "keep-alive");
     auto is_report = [](const auto& header) { return same_name(header.first, "Endpoint-Load-Metrics"); };
     Headers headers;
     std::remove_copy_if(message->headers.begin(), message->headers.end(), std::back_inserter(headers),
@@ -243,7 +329,7 @@
     if (rewrites_) rewrites_->answer(headers, class_name_, path_);
     for (const auto& [name, value] : headers)
         if (!hop_by_hop(name)) put_header(head, name, value);
-    respond(status, head + "\r\n", std::move(message));
+    respond(status, head + "\r\n", std::move(message), chunked);
 }
 
 void ClientSession::refuse(Duration back) {
@@ -252,7 +338,10 @@
 
 /// An answer of the node's own, without a body.
 void ClientSession::reject(int status, const std::string& extra) {
-    respond(status, answer_head(status, 0, close_after_ || front_.draining()) + extra + "\r\n", nullptr);
+    close_after_ = close_after_ || bool(upload_);
+    std::string head = answer_head(status, 0, close_after_ || front_.draining());
+    if (http_1_0_ && !close_after_ && !front_.draining()) put_header(head, "Connection", "keep-alive");
+    respond(status, head + extra + "\r\n", nullptr, false);
 }
 
 /// The same to a request that is not whole or cannot be read, of what is known of it so far.
@@ -262,24 +351,67 @@
     reject(status, extra);
 }
 
-void ClientSession::respond(int status, std::string head, std::shared_ptr<const HttpMessage> body) {
+void ClientSession::respond(int status, std::string head, std::shared_ptr<const HttpMessage> body, bool chunked) {
     status_ = status;
+    if (upload_) {  // answered before all of it was there: what still comes is read and means nothing
+        figured_ = front_.figures().came(class_, tenant_, heard_);
+        std::exchange(upload_, nullptr)->break_off();
+        long_linger_ = true;
+    }
     close_after_ = close_after_ || front_.draining();
-    outgoing_.set(std::move(head), std::move(body));
+    outgoing_.set(std::move(head), std::move(body), chunked);
     enter(State::Writing);
     write();
 }
 
 void ClientSession::write() {
     Outgoing::State state = outgoing_.write_to(socket_);
+    if (outgoing_.moved()) since_ = Steady::now();
     if (state == Outgoing::State::Failed) return close();
-    if (state == Outgoing::State::Whole) return next();
+    if (state == Outgoing::State::Whole) return write_rest() ? next() : void();
     socket_.async_wait(asio::ip::tcp::socket::wait_write, [self = shared_from_this()](error_code failed) {
         if (self->state_ != State::Writing) return;
         failed ? self->close() : self->write();
     });
 }
 
+/// True once all of the answer has been written; else it goes on by itself.
+bool ClientSession::write_rest() {
+    switch (outgoing_.next()) {
+        case Outgoing::Next::Over:
+            return true;
+        case Outgoing::Next::Piece:
+            write();
+            return false;
+        case Outgoing::Next::Broken: {  // a client that cannot see it from a length must see it from a reset
+            error_code ignored;
+            if (http_1_0_) socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+            close();
+            return false;
+        }
+        case Outgoing::Next::Wait:
+            watch_reader();
+            outgoing_.rest().wait_for_data([self = shared_from_this(), watch = watch_] {
+                if (self->state_ != State::Writing || watch != self->watch_) return;
+                error_code ignored;
+                self->socket_.cancel(ignored);
+                ++self->watch_;
+                self->since_ = Steady::now();
+                if (self->write_rest()) self->next();
+            });
+            return false;
+    }
+    return true;
+}
+
+// While nothing is there to write, only this shows that the client has gone. What it sends on is left for later.
+void ClientSession::watch_reader() {
+    socket_.async_wait(asio::ip::tcp::socket::wait_error,
+                       [self = shared_from_this(), watch = ++watch_](error_code error) {
+                           if (watch == self->watch_ && self->state_ == State::Writing && !error) self->close();
+                       });
+}
+
 void ClientSession::next() {
     outgoing_.clear();
     if (figured_) front_.figures().answered(*figured_, status_);
@@ -288,8 +420,9 @@
     rewrites_.reset();
     std::string().swap(path_);
     if (close_after_) return linger();
-    parser_.emplace(front_.pool());
-    begun_ = told_to_continue_ = false;
+    parser_.emplace(front_.pool(), front_.manner().body_bytes());
+    begun_ = told_to_continue_ = long_linger_ = false;
+    body_read_ = unread_.view().size();
     enter(State::Reading);
     if (!unread_) {
         stand(again_ ? Standing::Idle : Standing::Once);
@@ -341,6 +474,7 @@
     error_code ignored;
     socket_.close(ignored);
     unread_.release();
+    if (upload_) std::exchange(upload_, nullptr)->break_off();
     parser_.reset();
     outgoing_.clear();
     if (figured_) front_.figures().left(*figured_);
@@ -355,10 +489,14 @@
 }
 
 bool ClientSession::late() const {
+    if (state_ == State::Waiting) return upload_ && !upload_full_ && Steady::now() - heard_ > kPieceMost;
     auto most = [this]() -> Steady::duration {
-        if (state_ == State::Lingering) return kLingerMost;
+        if (state_ == State::Lingering) return long_linger_ ? kUploadLingerMost : kLingerMost;
         if (state_ == State::Writing) return kWriteMost;
-        return begun_ ? front_.manner().request_most : front_.manner().client_idle;
+        if (!begun_) return front_.manner().client_idle;
+        // A body may be slow, but not as slow as it likes.
+        Duration of_body{parser_->is_header_done() ? double(body_read_) / kSlowest : 0};
+        return front_.manner().request_most + std::chrono::duration_cast<Steady::duration>(of_body);
     };
     return (state_ == State::Reading || state_ == State::Lingering || state_ == State::Writing) &&
            stood() > most();
--- a/src/http/client_session.h
+++ b/src/http/client_session.h
@@ -45,14 +45,20 @@
     bool still_there(Duration age);
     bool parse();
     void dispatch();
+    void begin_upload();
+    void read_upload();
+    bool parse_upload();
+    void end_upload();
     void rewrite(HttpMessage& request, int class_index);
     void watch_client();
     void refuse(Duration back);
     void reject(int status, const std::string& extra = {});
     void reject_unread(int status, const std::string& extra = {});
-    void respond(int status, std::string head, std::shared_ptr<const HttpMessage> body);
+    void respond(int status, std::string head, std::shared_ptr<const HttpMessage> body, bool chunked);
+    void watch_reader();
     void pass_on(std::shared_ptr<const HttpMessage> message);
     void write();
+    bool write_rest();
     void next();
     void linger();
 
@@ -73,6 +79,13 @@
     RequestId request_ = 0;
     std::string trace_;       // its id, held while it is open; empty: ids need not differ
     bool head_only_ = false;  // it asked for a head alone
+    bool http_1_0_ = false;
+    bool long_linger_ = false;  // the body of the request is still coming, and means nothing any more
+    std::shared_ptr<BodyStream> upload_;  // of a body that goes on to a server as it comes, till all of it is there
+    bool upload_full_ = false;            // the server takes it more slowly than it comes
+    std::uint64_t body_read_ = 0;         // bytes since a request began
+    Duration patience_{};
+    int class_ = kNone, tenant_ = kNone;
     std::uint64_t number_;
     Door::Knock knock_;  // of the request that the front's door let in
     TimePoint entered_{};
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr int kInterimMost = 16;
+constexpr std::chrono::milliseconds kHoldMost{50};  // a long answer, or one of unknown length, before it is passed on
+constexpr std::chrono::milliseconds kStreamMost{15000};  // no further byte of one that has been passed on in part
+constexpr std::chrono::milliseconds kDryRest{20};
 
 }  // namespace
 
@@ -28,7 +31,7 @@
       ends_whole_(ends_whole) {}
 
 void Connection::expect_answer() {
-    parser_.emplace(pool_);
+    parser_.emplace(pool_, body_most_);
     if (head_only_) parser_->skip(true);
 }
 
@@ -37,7 +40,9 @@
     ++turn_;
     lost_ = nullptr;
     head_only_ = request && request->method == "HEAD";
-    outgoing_.set(std::move(head), std::move(request));
+    bool chunked = request && request->rest && !request->length;
+    outgoing_.set(std::move(head), std::move(request), chunked);
+    watched_ = false;
     done_ = std::move(done);
     may_send_ = std::move(may_send);
     on_written_ = std::move(on_written);
@@ -80,12 +85,9 @@
 
 void Connection::write() {
     Outgoing::State state = outgoing_.write_to(socket_);
-    if (state == Outgoing::State::Failed) return finish(End::NotSent);
-    if (state == Outgoing::State::Whole) {
-        written_ = true;
-        if (on_written_) on_written_();
-        return wait_for_answer();
-    }
+    if (state == Outgoing::State::Failed) return watched_ ? read() : finish(End::NotSent);
+    if (state == Outgoing::State::Whole) return next_piece();
+    watch_early();
     socket_.async_wait(asio::ip::tcp::socket::wait_write,
                        [self = shared_from_this(), turn = turn_](error_code failed) {
                            if (turn != self->turn_) return;
@@ -93,6 +95,30 @@
                        });
 }
 
+void Connection::next_piece() {
+    switch (outgoing_.next()) {
+        case Outgoing::Next::Over:
+            written_ = true;
+            if (on_written_) on_written_();
+            return watched_ ? void() : wait_for_answer();
+        case Outgoing::Next::Piece:
+            return write();
+        case Outgoing::Next::Broken:
+            return finish(End::NotSent);
+        case Outgoing::Next::Wait:
+            watch_early();
+            return outgoing_.rest().wait_for_data([self = shared_from_this(), turn = turn_] {
+                if (turn == self->turn_) self->next_piece();
+            });
+    }
+}
+
+// A server may answer a long body before it has all of it: it is full, say.
+void Connection::watch_early() {
+    if (!outgoing_.streams() || std::exchange(watched_, true)) return;
+    wait_for_answer();
+}
+
 void Connection::wait_for_answer() {
     socket_.async_wait(asio::ip::tcp::socket::wait_read,
                        [self = shared_from_this(), turn = turn_](error_code failed) {
@@ -102,6 +128,13 @@
 }
 
 void Connection::read() {
+    if (stream_ && !unread_ && pool_.dry()) {  // others hold all there is: their clients are slow
+        timer_.expires_after(kDryRest);
+        timer_.async_wait([self = shared_from_this(), turn = turn_](error_code stopped) {
+            if (!stopped && turn == self->turn_) self->read();
+        });
+        return;
+    }
     if (!unread_) unread_ = pool_.take();
     // One buffer a turn: a server that never stops must not hold the loop.
     for (std::size_t read = 0; read < BufferPool::kSize;) {
@@ -110,58 +143,132 @@
         if (unread_.room() == 0) return finish(End::Garbage);
         got = socket_.read_some(asio::buffer(unread_.free_space(), unread_.room()), error);
         if (error == asio::error::would_block) break;
-        if (error == asio::error::eof && ends_whole_ && parser_->is_header_done() && parser_->need_eof()) {
+        bool ends_it = ends_whole_ || (parser_->is_header_done() && parser_->message_says_close());
+        if (error == asio::error::eof && ends_it && parser_->is_header_done() && parser_->need_eof()) {
             error_code cut;
             parser_->put_eof(cut);
+            if (stream_) return end_stream(!cut, false);
             return finish(cut ? End::Broken : End::Answered);
         }
-        if (error) return finish(End::Broken);
+        if (error) return finish(written_ ? End::Broken : End::NotSent);
         read += got;
+        if (!parser_->got_some()) began_at_ = Steady::now();
         unread_.grow(got);
-        if (!parser_->got_some()) limit_answer();
-        while (true) {
-            error_code bad;
-            std::string_view bytes = unread_.view();
-            std::size_t used = parser_->put(asio::buffer(bytes.data(), bytes.size()), bad);
-            unread_.drop_front(used);
-            if (bad == boost::beast::http::error::need_more) break;
-            if (bad == boost::beast::http::error::body_limit) return finish(End::TooLarge);
-            if (bad) return finish(End::Garbage);
-            // An answer that ends where the connection does cannot be told from one that broke off. What is no
-            // 200 says all in its head.
-            if (parser_->is_header_done() && parser_->need_eof() && !ends_whole_)
-                return finish(parser_->message().status == 200 ? End::Garbage : End::Answered);
-            if (!parser_->is_done()) {
-                if (unread_.view().empty()) break;
-                if (used == 0) break;
-                continue;
+        std::uint64_t turn = turn_;
+        bool over = false;
+        if (!parse(over) || turn != turn_ || over) return;
+    }
+    if (unread_.view().empty()) unread_.release();
+    if (parser_->got_some()) limit_answer();
+    wait_for_answer();
+}
+
+/// Goes through what has come. False: there is no room for more yet. `over`: the exchange has ended.
+bool Connection::parse(bool& over) {
+    auto ends = [&](End end, bool reusable = false) {
+        over = true;
+        finish(end, reusable);
+        return true;
+    };
+    while (true) {
+        error_code bad;
+        std::string_view bytes = unread_.view();
+        std::size_t used = parser_->put(asio::buffer(bytes.data(), bytes.size()), bad);
+        unread_.drop_front(used);
+        bool full = bad == boost::beast::http::error::need_buffer;
+        if (full && stream_) {
+            timer_.cancel();  // whoever takes it is slow, not the server
+            stream_->wait_for_room([self = shared_from_this(), turn = turn_] {
+                if (turn != self->turn_) return;
+                bool ended = false;
+                if (self->parse(ended) && turn == self->turn_ && !ended) self->read();
+            });
+            return false;
+        }
+        if (bad == boost::beast::http::error::need_more) return true;
+        if (full && !may_stream_) return ends(End::TooLarge);
+        if (bad && !full) return ends(End::Garbage);
+        // An answer that ends where the connection does cannot be told from one that broke off, unless its head says
+        // that it will. What is no 200 says all in its head.
+        if (parser_->is_header_done() && parser_->need_eof() && !ends_whole_ && !stream_ &&
+            !parser_->message_says_close())
+            return ends(parser_->message().status == 200 ? End::Garbage : End::Answered);
+        if (parser_->is_done()) {
+            bool reusable = parser_->keep_alive() && unread_.view().empty() && written_;
+            if (stream_) {
+                over = true;
+                end_stream(true, reusable);
+                return true;
             }
             int status = parser_->message().status;
-            if (status >= 100 && status < 200) {  // an interim answer: the real one follows
-                // Nobody asked for another protocol, nor for interim answers without end.
-                if (status == 101 || ++interims_ > kInterimMost) return finish(End::Garbage);
-                timer_.cancel();
-                expect_answer();
-                if (!unread_.view().empty()) limit_answer();
-                if (unread_.view().empty()) break;
-                continue;
+            if (status < 100 || status >= 200) return ends(End::Answered, reusable);
+            // An interim answer: the real one follows. Nobody asked for another protocol, nor for interim answers
+            // without end.
+            if (status == 101 || ++interims_ > kInterimMost) return ends(End::Garbage);
+            timer_.cancel();
+            expect_answer();
+            if (unread_.view().empty()) return true;
+            began_at_ = Steady::now();
+            continue;
+        }
+        if (stream_due()) {
+            std::uint64_t turn = turn_;
+            begin_stream();
+            if (turn != turn_) {  // nobody wants it
+                over = true;
+                return true;
             }
-            return finish(End::Answered, parser_->keep_alive() && unread_.view().empty());
+            continue;
         }
+        if (unread_.view().empty() || used == 0) return true;
     }
-    if (unread_.view().empty()) unread_.release();
-    wait_for_answer();
+}
+
+// Not before something of the body is there: till then another server can still be asked.
+bool Connection::stream_due() const {
+    if (!may_stream_ || stream_ || !parser_->is_header_done() || !parser_->body_begun()) return false;
+    return parser_->full() || ((parser_->long_body() || !parser_->length_known()) &&
+                               Steady::now() - began_at_ > kHoldMost);
+}
+
+void Connection::begin_stream() {
+    stream_ = std::make_shared<BodyStream>(io_, pool_);
+    parser_->pass_rest_to(stream_);
+    stream_->when_abandoned([self = shared_from_this(), turn = turn_] {
+        if (turn == self->turn_) self->end_stream(false, false);
+    });
+    Result result;
+    result.end = End::Answered;
+    result.answer = parser_->take();
+    result.streams = true;
+    outgoing_.clear();
+    tell(std::move(result));
+}
+
+void Connection::end_stream(bool whole, bool reusable) {
+    ++turn_;
+    whole ? stream_->end() : stream_->break_off();
+    stream_.reset();
+    unread_.release();
+    timer_.cancel();
+    parser_.reset();
+    if (!reusable) {
+        error_code ignored;
+        socket_.close(ignored);
+    }
+    if (Streamed streamed = std::exchange(streamed_, nullptr)) streamed(shared_from_this(), reusable);
 }
 
 void Connection::limit_answer() {
     if (answer_most_.count() == 0) return;
-    timer_.expires_after(answer_most_);
+    timer_.expires_after(stream_ ? kStreamMost : answer_most_);
     timer_.async_wait([self = shared_from_this(), turn = turn_](error_code stopped) {
         if (!stopped && turn == self->turn_) self->finish(End::Garbage);
     });
 }
 
 void Connection::finish(End end, bool reusable) {
+    if (stream_) return end_stream(false, false);
     ++turn_;
     unread_.release();
     timer_.cancel();
@@ -176,6 +283,8 @@
     parser_.reset();
     outgoing_.clear();
     may_send_ = nullptr;
+    on_written_ = nullptr;
+    may_stream_ = watched_ = false;
     if (!starting_) return tell(std::move(result));
     // Later: whoever started the exchange must not be called back from inside the call.
     asio::post(io_, [self = shared_from_this(), turn = turn_, result = std::move(result)]() mutable {
@@ -198,6 +307,10 @@
     done_ = nullptr;
     may_send_ = nullptr;
     lost_ = nullptr;
+    on_written_ = nullptr;
+    streamed_ = nullptr;
+    if (stream_) stream_->break_off();
+    stream_.reset();
     parser_.reset();
     unread_.release();
     outgoing_.clear();
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -25,11 +25,15 @@
         End end = End::Broken;
         std::shared_ptr<HttpMessage> answer;  ///< of an Answered; the head of one TooLarge
         bool reusable = false;
+        bool streams = false;  ///< of an Answered: its rest is still coming, and when_streamed() tells of the end
     };
+    /// The rest of an answer has come whole, or will not.
+    using Streamed = std::function<void(const std::shared_ptr<Connection>&, bool reusable)>;
     /// Is handed the connection too, so that it need not hold it: that would keep both alive for good.
     using Done = std::function<void(const std::shared_ptr<Connection>&, Result)>;
 
-    /// `answer_most`: from an answer's first byte to its last; zero: without a limit. `ends_whole`: an answer
+    /// `answer_most`: from an answer's first byte on, how long nothing more of it may come; zero: without a limit.
+    /// `ends_whole`: an answer
     /// that says of its end that it is the connection's is whole then. It cannot be told from one that broke
     /// off.
     Connection(boost::asio::io_context& io, BufferPool& pool, const Endpoint& to, Duration connect_timeout,
@@ -41,6 +45,13 @@
     /// called before this returns, and not after close().
     void exchange(std::string head, std::shared_ptr<const HttpMessage> request, Done done,
                   std::function<bool()> may_send = nullptr, std::function<void()> on_written = nullptr);
+    /// Answers to the next exchange may be longer than a buffer, `body_most` bytes or, where that is zero, any: one that a buffer does not hold is told once it has begun.
+    /// Else such a one is TooLarge.
+    void let_stream(std::uint64_t body_most) {
+        may_stream_ = true;
+        body_most_ = body_most;
+    }
+    void when_streamed(Streamed streamed) { streamed_ = std::move(streamed); }
 
     /// Ends it at once. True if a request had been written whole.
     bool close();
@@ -57,8 +68,14 @@
     void connect();
     void begin();
     void write();
+    void next_piece();
+    void watch_early();
     void wait_for_answer();
     void read();
+    bool parse(bool& over);
+    bool stream_due() const;
+    void begin_stream();
+    void end_stream(bool whole, bool reusable);
     void limit_answer();
     void expect_answer();
     void finish(End end, bool reusable = false);
@@ -77,6 +94,12 @@
     std::function<bool()> may_send_;
     std::function<void()> on_written_;
     Done done_;
+    Streamed streamed_;
+    bool may_stream_ = false;
+    std::uint64_t body_most_ = 0;
+    std::shared_ptr<BodyStream> stream_;  // the rest of an answer that has been told
+    Steady::time_point began_at_{};       // when the answer's first byte came
+    bool watched_ = false;                // for an answer, while the request is still being written
     bool written_ = false;
     std::optional<MessageParser<false>> parser_;
     Buffer unread_;
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -52,6 +52,7 @@
     /// Holds no more descriptors than this from now on.
     void keep_to(DescriptorBudget budget);
 
+    boost::asio::io_context& io() { return io_; }
     BufferPool& pool() { return pool_; }
     Engine& engine() { return engine_; }
     figures::Figures& figures() { return figures_; }
--- a/src/http/manner.cpp
+++ b/src/http/manner.cpp
@@ -45,8 +45,11 @@
                  {"200", Manner::Pass::Only200}}),
             time({.name = "answer_ms",
                   .fallback = "0",
-                  .help = "longest from an answer's first byte to its last; 0: the request's own time"},
+                  .help = "longest time without a further byte of an answer that has begun; 0: the request's own "
+                          "time"},
                  &Manner::answer_most, 0),
+            config::number({.name = "body_mb", .fallback = "0", .help = "longest body either way; 0: any"},
+                           &Manner::body_mb, 0, 1000000),
             time({.name = "client_idle_ms",
                   .fallback = "30000",
                   .help = "a client's connection without a request is closed after this"},
--- a/src/http/manner.h
+++ b/src/http/manner.h
@@ -27,10 +27,14 @@
     Pass pass = Pass::Only200;
     bool probes_by_status = false;  ///< below 500 is sound; else 200 alone
     std::string probe_path = "/healthz";
-    // From an answer's first byte to its last; zero: no more than the request's own time. Guards against one
-    // that stops short of its length, or never ends: its request could still be sent elsewhere in time.
-    // Longer than the platform's servers are known to stand still.
+    // From an answer's first byte on, how long nothing more of it may come; zero: no more than the request's own
+    // time. Guards against one that stops short of its length: its request could still be sent elsewhere in
+    // time. Longer than the platform's servers are known to stand still.
     std::chrono::milliseconds answer_most{300};
+    /// MB of a body; zero: any. Guards against answers whose length makes no sense: once one has begun to go out, no
+    /// other server can be asked. The platform's reach 32.
+    std::size_t body_mb = 40;
+    std::uint64_t body_bytes() const { return std::uint64_t(body_mb) << 20; }
     std::chrono::milliseconds client_idle{2000};   ///< a client's connection without a request
     std::chrono::milliseconds request_most{2500};  ///< from connecting, or a later request's first byte
     std::vector<Route>
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -36,13 +36,17 @@
     std::array<char, 32> text;
     std::snprintf(text.data(), text.size(), "%.6f", std::max(0.0, patience.count() / 1000));
     put_header(head, "X-Expires-In", text.data());
-    std::size_t size = request.body_view().size();
+    if (request.rest && !request.length) {
+        put_header(head, "Transfer-Encoding", "chunked");
+        return head += "\r\n";
+    }
+    std::uint64_t size = request.rest ? *request.length : request.body_view().size();
     if (size > 0 || (request.method != "GET" && request.method != "HEAD"))
         put_header(head, "Content-Length", std::to_string(size));
     return head += "\r\n";
 }
 
-std::string answer_head(int status, std::optional<std::size_t> length, bool close) {
+std::string answer_head(int status, std::optional<std::uint64_t> length, bool close) {
     namespace beast = boost::beast::http;
     std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
     beast::status known = beast::int_to_status(unsigned(status));
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -13,6 +13,7 @@
 #include "base/buffer_pool.h"
 #include "engine/types.h"
 #include "fields/fields.h"
+#include "http/body_stream.h"
 
 namespace ochrehub::http {
 
@@ -33,7 +34,13 @@
     /// A body of known length up to kShortBody, in place of a buffer: most are short, a request that waits keeps its
     /// own, and 64 KiB for each would use up the memory long before the descriptors.
     std::string short_body;
+    /// What follows of a body that is longer than that; null: nothing does. Read once only.
+    std::shared_ptr<BodyReader> rest;
+    /// Of a body with a rest, where its head says so.
+    std::optional<std::uint64_t> length;
+    bool http_1_0 = false;
 
+    bool replayable() const override { return !rest || !rest->stream().spent(); }
     /// Empty where there is none.
     std::string_view header(std::string_view name) const {
         for (const auto& [key, value] : headers)
@@ -55,12 +62,30 @@
 template <bool kRequest>
 class MessageParser : public boost::beast::http::basic_parser<kRequest> {
 public:
-    explicit MessageParser(BufferPool& pool) : pool_(pool), message_(std::make_shared<HttpMessage>()) {
+    /// `body_most`: bytes; zero: any.
+    explicit MessageParser(BufferPool& pool, std::uint64_t body_most = 0)
+        : pool_(pool), message_(std::make_shared<HttpMessage>()) {
         this->eager(true);
         this->header_limit(kMaxHead);
-        this->body_limit(kMaxBody);
+        this->body_limit(boost::none);  // one of any length passes through a bounded buffer
+        if (body_most > 0) this->body_limit(body_most);
     }
     std::shared_ptr<HttpMessage> take() { return std::move(message_); }
+    /// The rest of the body goes into `stream` from now on, for whoever has the message.
+    void pass_rest_to(std::shared_ptr<BodyStream> stream) {
+        stream_ = std::move(stream);
+        message_->rest = std::make_shared<BodyReader>(stream_);
+        message_->length = length_;
+    }
+    /// Only a stream can take the body: it is longer than a buffer, or may be.
+    bool long_body() const { return length_ ? *length_ > kMaxBody : full_; }
+    /// The buffer holds no more of it.
+    bool full() const { return full_; }
+    /// Something of the body has come.
+    bool body_begun() const { return begun_; }
+    bool length_known() const { return length_.has_value(); }
+    /// Its connection ends behind it, by its own word.
+    bool message_says_close() const { return says_close_; }
     HttpMessage& message() { return *message_; }
 
 private:
@@ -70,20 +95,25 @@
     void on_request_impl(boost::beast::http::verb, Text method, Text target, int version,
                          Error& error) override {
         check(version, error);
+        message_->http_1_0 = version == 10;
         message_->method = view(method);
         message_->target = view(target);
     }
     void on_response_impl(int status, Text, int version, Error& error) override {
         check(version, error);
+        message_->http_1_0 = version == 10;
         message_->status = status;
     }
     static void check(int version, Error& error) {
         if (version != 10 && version != 11) error = boost::beast::http::error::bad_version;
     }
     void on_field_impl(boost::beast::http::field, Text name, Text value, Error&) override {
+        if (headed_) return;  // a trailer: nothing that counts may come behind a body
         message_->headers.emplace_back(view(name), view(value));
     }
     void on_header_impl(Error& error) override {
+        headed_ = true;
+        says_close_ = message_->http_1_0 || same_name(message_->header("Connection"), "close");
         bool bodied = this->chunked() || this->content_length().value_or(0) > 0;
         if (!plain_framing(*message_) || (kRequest && message_->method == "GET" && bodied))
             error = boost::beast::http::error::bad_content_length;
@@ -91,15 +121,25 @@
     void on_body_init_impl(const boost::optional<std::uint64_t>& length, Error&) override {
         if (length && *length <= kShortBody) message_->short_body.reserve(std::size_t(*length));
         is_short_ = length && *length <= kShortBody;
+        if (length) length_ = *length;
     }
     std::size_t on_body_impl(Text body, Error& error) override {
+        begun_ = begun_ || !body.empty();
+        if (stream_) {
+            std::size_t taken = stream_->put(view(body));
+            if (taken < body.size()) error = boost::beast::http::error::need_buffer;
+            return taken;
+        }
         if (is_short_) {  // no more than its length comes
             message_->short_body.append(body.data(), body.size());
             return body.size();
         }
         if (!message_->body) message_->body = pool_.take();
         std::size_t taken = message_->body.append(view(body));
-        if (taken < body.size()) error = boost::beast::http::error::body_limit;
+        if (taken < body.size()) {
+            full_ = true;
+            error = boost::beast::http::error::need_buffer;
+        }
         return taken;
     }
     void on_chunk_header_impl(std::uint64_t, Text, Error&) override {}
@@ -110,7 +150,9 @@
 
     BufferPool& pool_;
     std::shared_ptr<HttpMessage> message_;
-    bool is_short_ = false;
+    std::shared_ptr<BodyStream> stream_;
+    std::optional<std::uint64_t> length_;
+    bool is_short_ = false, headed_ = false, begun_ = false, full_ = false, says_close_ = false;
 };
 
 /// The path of a request's target: without the host of a whole URL, and without the query.
@@ -122,6 +164,6 @@
 std::string request_head(const HttpMessage& request, Duration patience);
 
 /// A whole answer's head; its body is `length` long, if it says so.
-std::string answer_head(int status, std::optional<std::size_t> length, bool close);
+std::string answer_head(int status, std::optional<std::uint64_t> length, bool close);
 
 }  // namespace ochrehub::http
--- a/src/http/outgoing.h
+++ b/src/http/outgoing.h
@@ -1,14 +1,16 @@
-// A message on its way out. Written by hand, not by a composed operation: whether the last byte has left must
-// be known at every moment, since it decides if a request may have run.
+// A message on its way out, and the pieces of a body that follow it. Written by hand, not by a composed operation:
+// whether the last byte has left must be known at every moment, since it decides if a request may have run.
 #pragma once
 
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <cstdio>
 #include <memory>
 #include <string>
 #include <utility>
 
+#include "http/body_stream.h"
 #include "http/message.h"
 
 namespace ochrehub::http {
@@ -17,36 +19,90 @@
 public:
     enum class State { Whole, Blocked, Failed };
 
-    /// `message` may be null: a head alone.
-    void set(std::string head, std::shared_ptr<const HttpMessage> message) {
-        head_ = std::move(head);
+    /// A head and as much of the body as the message holds. `message` may be null: a head alone. `chunked`: what
+    /// follows of a body goes in chunks, this part of it too.
+    void set(std::string head, std::shared_ptr<const HttpMessage> message, bool chunked = false) {
         message_ = std::move(message);
-        sent_ = 0;
+        rest_ = message_ && message_->rest ? &message_->rest->stream() : nullptr;
+        chunked_ = rest_ && chunked;
+        piece_ = 0;
+        frame(std::move(head), message_ ? message_->body_view() : std::string_view{});
+    }
+    void clear() {
+        rest_ = nullptr;
+        body_ = {};
+        message_.reset();
     }
-    void clear() { message_.reset(); }
 
-    /// Writes what the socket, which must not block, takes. Blocked: to be called again once it takes more.
+    /// Writes what the socket, which must not block, takes. Blocked: to be called again once it takes more. Whole: so
+    /// far; what follows is next()'s.
     State write_to(boost::asio::ip::tcp::socket& socket) {
         namespace asio = boost::asio;
-        std::string_view body = message_ ? message_->body_view() : std::string_view{};
-        while (sent_ < head_.size() + body.size()) {
-            std::size_t in_body = sent_ > head_.size() ? sent_ - head_.size() : 0;
-            std::size_t in_head = sent_ - in_body;
-            std::array<asio::const_buffer, 2> rest{
-                asio::buffer(head_.data() + in_head, head_.size() - in_head),
-                asio::buffer(body.data() + in_body, body.size() - in_body)};
+        std::size_t all = head_.size() + body_.size() + tail_.size();
+        while (sent_ < all) {
+            std::size_t skip = sent_;
+            auto left = [&skip](std::string_view part) {
+                std::size_t gone = std::min(skip, part.size());
+                skip -= gone;
+                return asio::buffer(part.data() + gone, part.size() - gone);
+            };
+            std::array<asio::const_buffer, 3> rest{left(head_), left(body_), left(tail_)};
             boost::system::error_code error;
-            sent_ += socket.write_some(rest, error);
+            std::size_t wrote = socket.write_some(rest, error);
+            sent_ += wrote;
+            moved_ = moved_ || wrote > 0;
             if (error == asio::error::would_block) return State::Blocked;
             if (error) return State::Failed;
         }
         return State::Whole;
     }
+    /// Something was written since this was last asked.
+    bool moved() { return std::exchange(moved_, false); }
+
+    enum class Next { Over, Piece, Wait, Broken };
+    /// Behind a Whole. Over: that was all. Piece: there is more to write. Wait: more is still to come. Broken: it never
+    /// will.
+    Next next() {
+        if (!rest_) return Next::Over;
+        rest_->drop(std::exchange(piece_, 0));
+        if (std::string_view more = rest_->view(); !more.empty()) {
+            piece_ = more.size();
+            frame({}, more);
+            return Next::Piece;
+        }
+        if (rest_->broken()) return Next::Broken;
+        if (!rest_->over()) return Next::Wait;
+        rest_ = nullptr;
+        if (!chunked_) return Next::Over;
+        head_ = "0\r\n\r\n";
+        body_ = {};
+        tail_.clear();
+        sent_ = 0;
+        return Next::Piece;
+    }
+    bool streams() const { return rest_ != nullptr; }
+    /// Where there is more to come.
+    BodyStream& rest() { return *rest_; }
 
 private:
-    std::string head_;
+    void frame(std::string head, std::string_view body) {
+        head_ = std::move(head);
+        body_ = body;
+        tail_.clear();
+        sent_ = 0;
+        if (!chunked_ || body.empty()) return;
+        std::array<char, 24> size{};
+        std::snprintf(size.data(), size.size(), "%zx\r\n", body.size());
+        head_ += size.data();
+        tail_ = "\r\n";
+    }
+
+    std::string head_, tail_;
+    std::string_view body_;
     std::shared_ptr<const HttpMessage> message_;
-    std::size_t sent_ = 0;
+    BodyStream* rest_ = nullptr;
+    std::size_t sent_ = 0, piece_ = 0;
+    bool chunked_ = false, moved_ = false;
 };
 
 }  // namespace ochrehub::http
--- a/src/http/server_pool.cpp
+++ b/src/http/server_pool.cpp
@@ -37,8 +37,6 @@
     using End = Connection::End;
     if (result.end == End::NotSent) return result.reusable ? Outcome::Moot : Outcome::ConnectFailed;
     if (result.end == End::Broken) return Outcome::Reset;
-    // Every other server would answer the same.
-    if (result.end == End::TooLarge && pass != Manner::Pass::Only200) return Outcome::Ok;
     if (result.end == End::Garbage || result.end == End::TooLarge) return Outcome::Error;
     int status = result.answer->status;
     if (status == 200) return Outcome::Ok;
@@ -133,7 +131,13 @@
     attempts_[id] = connection;
     if (!connection) return end_later(id, Outcome::ConnectFailed);
     auto request = std::static_pointer_cast<const HttpMessage>(std::move(message));
+    if (!request->replayable()) {  // guards against half a body that would look whole
+        give_back(to, connection, false);
+        attempts_[id] = nullptr;
+        return end_later(id, Outcome::ConnectFailed);
+    }
     std::string head = request_head(*request, patience);
+    connection->let_stream(manner_.body_bytes());
     connection->exchange(
         std::move(head), std::move(request),
         [this, id, to](const ConnectionPtr& used, Connection::Result result) {
@@ -155,24 +159,23 @@
 void ServerPool::attempt_done(AttemptId id, ServerId server, const ConnectionPtr& connection,
                               Connection::Result result) {
     attempts_.erase(id);
-    give_back(server, connection, result);
+    if (result.streams)
+        connection->when_streamed([this, server](const ConnectionPtr& used, bool reusable) {
+            give_back(server, used, reusable);
+        });
+    else
+        give_back(server, connection, result.reusable);
     AttemptResult told;
     told.outcome = outcome_of(result, manner_.pass);
     if (result.end == Connection::End::Answered) told.report = report_of(*result.answer);
     bool its_own_fault = told.outcome == Outcome::Error && manner_.pass == Manner::Pass::All;
     if (told.outcome == Outcome::Ok || (its_own_fault && result.end == Connection::End::Answered))
         told.message = std::move(result.answer);
-    if (told.outcome == Outcome::Ok && result.end == Connection::End::TooLarge) {
-        log(LogLevel::Warn, "an answer was too large", {{"server", server}, {"bytes_most", kMaxBody}});
-        auto instead = std::make_shared<HttpMessage>();
-        instead->status = 502;
-        told.message = std::move(instead);
-    }
     events_.attempt_ended(id, std::move(told));
 }
 
-void ServerPool::give_back(ServerId id, const ConnectionPtr& connection, const Connection::Result& result) {
-    if (!result.reusable || !may_send(id)) {
+void ServerPool::give_back(ServerId id, const ConnectionPtr& connection, bool reusable) {
+    if (!reusable || !may_send(id)) {
         connection->close();
         --connections_;
         return;
@@ -219,7 +222,7 @@
         "GET " + manner_.probe_path + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n", nullptr,
         [this, to, took, timer](const ConnectionPtr& used, const Connection::Result& result) {
             if (timer->cancel() == 0) return;  // its time ran out in this same moment
-            give_back(to, used, result);
+            give_back(to, used, result.reusable);
             Outcome outcome = outcome_of_probe(result, manner_.probes_by_status);
             LoadReport report;
             if (result.answer && result.end == Connection::End::Answered) report = report_of(*result.answer);
--- a/src/http/server_pool.h
+++ b/src/http/server_pool.h
@@ -61,7 +61,7 @@
         return server && server->sendable && !out_.contains(server->key);
     }
     ConnectionPtr connection_to(ServerId id);
-    void give_back(ServerId id, const ConnectionPtr& connection, const Connection::Result& result);
+    void give_back(ServerId id, const ConnectionPtr& connection, bool reusable);
     void attempt_done(AttemptId id, ServerId server, const ConnectionPtr& connection,
                       Connection::Result result);
     void retire_idle();
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -138,7 +138,7 @@
 struct Request {
     RequestId id = 0;
     int cls = 0, tenant = kNone;
-    bool repeat = false, finished = false, queued = false, streaming = false;
+    bool repeat = false, finished = false, queued = false, streaming = false, uploading = false;
     double worth = 1;
     TimePoint arrived{}, give_up_at{}, useful_until{};
     std::vector<Attempt> attempts;
@@ -409,9 +409,7 @@
 
     void ask(Server& s, std::size_t i) {
         if (s.probe_open) return;
-        s.probe_open = true;
-        s.probe_counts = false;
-        s.probe_sent = now_;
+        s.probe_open = true, s.probe_counts = false, s.probe_sent = now_;
         emit(Probe{s.id, kProbeTimeout});
         start_timer(TimerKind::ProbeLate, kProbeTimeout, i, s.probe_epoch);
     }
@@ -467,8 +465,7 @@
 
     void note_success(Server& s) {
         s.failures = 0, s.probe_rest = Duration{0};
-        s.answered_at = now_;
-        ++s.successes;
+        s.answered_at = now_, ++s.successes;
         if (s.health == Health::Healthy) return;
         if (s.health == Health::Unhealthy && s.was_down && s.successes == 1)
             s.started = now_, s.cold_until = TimePoint::min();  // back from an outage: cold, list or not
@@ -482,8 +479,7 @@
         s.successes = 0, s.was_down = s.was_down || away;
         if (away) s.connected = false;
         if (++s.failures >= kFailuresToEject && s.health != Health::Unhealthy) {
-            s.health = Health::Unhealthy;
-            subset_stale_ = true;
+            s.health = Health::Unhealthy, subset_stale_ = true;
             emit(Log{"server " + std::to_string(s.id) + " unhealthy"});
         }
     }
@@ -575,13 +571,9 @@
     }
 
     void note_answer(Server& s, const Request& r, const Attempt& a, Duration elapsed) {
-        s.connected = true;
-        s.used_at = now_;
-        s.shuts = 0;
-        s.errors -= kErrorGain * s.errors;
-        errors_ -= kFleetPaceGain * errors_;
-        s.silent = 0;
-        s.last_elapsed = elapsed;
+        s.connected = true, s.used_at = now_, s.last_elapsed = elapsed;
+        s.shuts = s.silent = 0;
+        s.errors -= kErrorGain * s.errors, errors_ -= kFleetPaceGain * errors_;
         ClassState& c = state(r);
         double ms = elapsed.count() * share(s);
         if (!std::exchange(c.seen, true)) c.floor_ms = ms;
@@ -752,7 +744,7 @@
         const ClassSettings& c = set_.classes[std::size_t(e.class_index)];
         Request& r = requests_[e.request];
         r.id = e.request, r.cls = e.class_index, r.tenant = e.tenant, r.repeat = e.client_repeat;
-        r.arrived = now_, r.give_up_at = e.give_up_at;
+        r.arrived = now_, r.give_up_at = e.give_up_at, r.uploading = e.uploading;
         Duration aim = c.aim + (e.effort ? c.aim_stretch * *e.effort : Duration{0});
         r.useful_until = c.late_worth > 0 ? r.give_up_at : std::min(now_ + aim, r.give_up_at);
         r.worth = c.gain * (r.repeat ? kRepeatWorth : 1);
@@ -829,18 +821,30 @@
         ++r.open, ++s.own, ++s.refs;
         s.last_send = now_;
         if (share(s) < 1) s.cold_sends.emplace_back(now_, state(r).floor_ms);
-        emit(Forward{r.id, s.id, set_.cancel ? r.useful_until - now_ : Duration{0}});
+        emit(Forward{r.id, s.id, set_.cancel && !r.uploading ? r.useful_until - now_ : Duration{0}});
+        if (!r.uploading) expect_answer(r, s);
+    }
+
+    void expect_answer(const Request& r, const Server& s) {
         Duration patience = std::max(Duration{3 * state(r).floor_ms / share(s)}, 0.8 * cls(r).aim);
         start_timer(TimerKind::Overdue, patience, r.id, r.attempts.size() - 1);
     }
 
+    void on(const Uploaded& e) {  // a body that is long in coming says nothing of the server
+        Request* r = find(e.request);
+        if (!r) return;
+        r->uploading = false;
+        r->useful_until += e.give_up_at - r->give_up_at;
+        r->give_up_at = e.give_up_at;
+        if (r->open > 0) expect_answer(*r, servers_[r->attempts.back().server]);
+    }
+
     void on(const AttemptEnded& e) {
         Request* known = find(e.request);
         if (!known || e.attempt < 0 || e.attempt >= int(known->attempts.size())) return;
         Request& r = *known;
         Attempt& a = r.attempts[std::size_t(e.attempt)];
-        if (a.ended) return;
-        a.ended = true;
+        if (std::exchange(a.ended, true)) return;
         a.fate = fate_of(e.outcome);
         --r.open;
         resting_until_ = now_;
@@ -854,7 +858,7 @@
         (a.idled ? idle_loss_ : used_loss_) += kIdleGain * (lost - (a.idled ? idle_loss_ : used_loss_));
         judge(s, r, a, e);
         if (e.concluded) conclude(r);
-        if (!r.finished && r.open == 0 && !r.queued) retry(r, a.fate == Fate::MayHaveRun);
+        if (!r.finished && r.open == 0 && !r.queued) retry(r, a.fate == Fate::MayHaveRun, e.replayable);
         if (r.finished) done_.push_back(r.id);
     }
 
@@ -908,8 +912,8 @@
     // used.
     bool reaped() const { return idle_loss_ > used_loss_ + kIdleLoss; }
 
-    void retry(Request& r, bool may_have_run) {
-        bool allowed = int(r.attempts.size()) < set_.max_attempts;
+    void retry(Request& r, bool may_have_run, bool replayable) {
+        bool allowed = int(r.attempts.size()) < set_.max_attempts && replayable;
         if (may_have_run) allowed = allowed && cls(r).effect != Effect::SingleShot && retry_tokens_ >= 1;
         if (!allowed) return give_up(r);
         if (may_have_run) retry_tokens_ -= 1;
@@ -939,8 +943,7 @@
     }
 
     void conclude(Request& r) {  // it is over, one way or another: call off what is still out
-        r.finished = true;
-        r.queued = false;
+        r.finished = true, r.queued = false;
         if (set_.cancel && !r.streaming)
             for (std::size_t k = 0; k < r.attempts.size(); ++k)
                 if (!r.attempts[k].ended) emit(Cancel{r.id, int(k)});
