--- a/tests/bench_side.h
+++ b/tests/bench_side.h
@@ -149,6 +149,8 @@
         }
     }
 
+    std::size_t avoided() const { return balancer_.avoided(); }
+
     double now = 0;
 
 private:
--- /dev/null
+++ b/tests/hands_rules_test.cpp
@@ -0,0 +1,136 @@
+// What the module makes of servers out by hand, of a body that is still coming, and of a second process.
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "bench_side.h"
+
+namespace ochrehub::testing {
+namespace {
+
+Settings unprobed() {
+    Settings set = make_settings();
+    set.probes = false;
+    return set;
+}
+
+ByHand out(std::uint64_t key) {
+    return {key, true, {}};
+}
+
+/// How many of `many` requests went to each server, one after the other from `ms` on.
+std::map<ServerId, int> sends(Gateway& g, double ms, int many) {
+    static RequestId id = 0;
+    std::map<ServerId, int> counts;
+    for (int i = 0; i < many; ++i, ++id) {
+        double now = ms + 60 * i;
+        g.run_to(now);
+        auto to = sent_to(g.arrive(now, id));
+        if (!to) continue;
+        ++counts[*to];
+        g.ok(now + 50, id, *to);
+    }
+    return counts;
+}
+
+TEST(ByHand, OutWhateverTheListSaysUntilTheCallBack) {
+    Gateway g(unprobed());
+    g.list(0, {entry(1), entry(2)});
+    g.tell(10, out(1));
+    EXPECT_EQ(sends(g, 20, 6)[1], 0);
+    g.list(500, {entry(2)});
+    g.list(600, {entry(1), entry(2)});  // left and came back
+    EXPECT_EQ(sends(g, 700, 6)[1], 0);
+    ListEntry renumbered = entry(7);  // discovery's client forgot it meanwhile: another number, the same key
+    renumbered.key = 1;
+    renumbered.last_start = at(1100);
+    g.list(1200, {renumbered, entry(2)});
+    auto counts = sends(g, 1300, 6);
+    EXPECT_EQ(counts[1] + counts[7], 0);
+    g.tell(2000, out(1));  // twice out, once back
+    g.tell(2100, ByHand{1, false, at(2100)});
+    EXPECT_GT(sends(g, 2200, 20)[7], 0);
+}
+
+TEST(ByHand, TheReturnIsColdAndHasTrafficSoon) {
+    auto sent_in_a_span = [](bool by_hand) {
+        Gateway g(unprobed());
+        g.list(0, {entry(1), entry(2)});
+        if (by_hand) {
+            g.tell(5, out(1));
+            g.tell(10, ByHand{1, false, at(10)});
+        }
+        int to_it = 0;
+        for (int i = 0; i < 1900; ++i) {  // more than a cold one stands, and none of it waits
+            g.run_to(20 + i);
+            auto to = sent_to(g.arrive(20 + i, RequestId(i)));
+            if (!to) continue;
+            to_it += *to == 1;
+            g.ok(20.5 + i, RequestId(i), *to, 20);
+        }
+        return to_it;
+    };
+    int cold = sent_in_a_span(true), warm = sent_in_a_span(false);
+    EXPECT_GT(cold, 0);
+    EXPECT_LT(cold, warm / 2);
+}
+
+TEST(ByHand, AllOutMeansRefusedAtOnce) {
+    Gateway g(unprobed());
+    g.list(0, {entry(1), entry(2)});
+    g.tell(10, out(1));
+    g.tell(11, out(2));
+    for (int cls : {0, 1, 4}) {
+        Actions actions = g.arrive(20, RequestId(cls), cls);
+        EXPECT_EQ(all_of<Refuse>(actions).size(), 1u) << cls;
+    }
+    g.tell(30, ByHand{2, false, at(30)});
+    EXPECT_TRUE(sent_to(g.arrive(40, 9)));
+}
+
+TEST(ByHand, TheyCountAsAvoidedWhileTheyAreListed) {
+    Gateway g(unprobed());
+    g.list(0, {entry(1), entry(2), entry(3)});
+    EXPECT_EQ(g.avoided(), 0u);
+    g.tell(10, out(1));
+    EXPECT_EQ(g.avoided(), 1u);
+    g.list(20, {entry(2), entry(3)});
+    EXPECT_EQ(g.avoided(), 0u);
+    auto leaving = entry(3);
+    leaving.phase = Phase::Draining;
+    g.list(30, {entry(1), entry(2), leaving});
+    EXPECT_EQ(g.avoided(), 2u);
+}
+
+TEST(Uploads, ABodyThatIsLongInComingSaysNothingOfItsServer) {
+    for (bool uploading : {true, false}) {
+        Gateway g(unprobed());
+        g.list(0, {entry(1)});
+        RequestArrived e;
+        e.request = 1, e.class_index = 1, e.give_up_at = at(1010), e.uploading = uploading;
+        ASSERT_TRUE(sent_to(g.tell(10, e)));
+        g.run_to(3000);  // long past its time
+        if (!uploading) continue;
+        g.tell(3000, Uploaded{1, at(4000)});
+        g.run_to(3390);
+        EXPECT_FALSE(all_of<Log>(g.run_to(3390)).size());
+        g.ok(3395, 1, 1, 395);
+        EXPECT_TRUE(sent_to(g.arrive(3400, 2)));  // not taken for one that answers nothing
+    }
+}
+
+TEST(Uploads, WhatIsSpentIsNotSentAgain) {
+    for (bool replayable : {true, false}) {
+        Gateway g(unprobed());
+        g.list(0, {entry(1), entry(2)});
+        auto to = sent_to(g.arrive(10, 1, 1));
+        ASSERT_TRUE(to);
+        Actions actions =
+            g.tell(20, AttemptEnded{1, 0, *to, Outcome::ConnectFailed, Duration{10}, false, {}, replayable});
+        EXPECT_EQ(sent_to(actions).has_value(), replayable);
+        EXPECT_EQ(all_of<Refuse>(actions).size(), replayable ? 0u : 1u);  // it never ran: the client may try again
+    }
+}
+
+}  // namespace
+}  // namespace ochrehub::testing
--- a/tests/play.cpp
+++ b/tests/play.cpp
@@ -1,7 +1,7 @@
 // Plays a recorded exchange against the program and compares: play PROGRAM FILE. The file's lines, in order:
 //   set PATTERN => TEXT    replaces text in config.json before the start     env NAME=VALUE  for the program
 //   start [SHELL]          runs the program, SHELL first   exit CODE   waits for its end; err TEXT: its first
-//   line connect C              a client's connection          accept S L  one that the program made to
+//   line connect C [o]          a client's connection, or one to the second address $o         accept S L  one that the program made to
 //   listener L C> TEXT   C< TEXT      bytes sent, bytes that must come ('*': anything but a line's end;
 //   {N*TEXT}: TEXT N times) list C JSON            an answer 200 with this body eof C   close C   reset C
 //   signal TERM, STOP, CONT or KILL     in TEXT / out TEXT: standard streams     reload: writes config.json anew and sends SIGHUP
@@ -120,10 +120,10 @@
     close(in[0]), close(out[1]), close(err[1]);
 }
 
-int connect_client() {
+int connect_client(const std::string& to) {
     while (true) {
         int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        sockaddr_in at = loopback(std::atoi(names["n"].c_str() + names["n"].find(':') + 1));
+        sockaddr_in at = loopback(std::atoi(names[to].c_str() + names[to].find(':') + 1));
         if (connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0) return fd;
         close(fd);  // not listening yet
         if (waitpid(child, nullptr, WNOHANG) != 0) fail("the program has ended");
@@ -225,7 +225,7 @@
                                name.empty() ? std::ios::trunc : std::ios::app);
             if (!name.empty()) file << text << "\n";
         } else if (word == "connect") {
-            peers[name] = connect_client();
+            peers[name] = connect_client(other.empty() ? "n" : other);
         } else if (word == "accept") {
             peers[name] = accept4(listeners.at(other), nullptr, nullptr, SOCK_CLOEXEC);
         } else if (word == "serve") {
@@ -297,7 +297,8 @@
     char made[] = "/tmp/play.XXXXXX";
     names["tmp"] = directory = mkdtemp(made);
     for (const char* name : {"a", "b", "d"}) listeners[name] = listen_on(name, SOCK_STREAM);
-    close(listen_on("n", SOCK_STREAM));  // the program's: free, and nobody else uses this address
+    for (const char* name : {"n", "o"})  // the program's: free, and nobody else uses this address
+        close(listen_on(name, SOCK_STREAM));
     std::signal(SIGALRM, [](int) { fail("hangs"); });
     alarm(60);
     play(script, given[1]);
