--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -416,6 +416,7 @@
     outgoing_.clear();
     if (figured_) front_.figures().answered(*figured_, status_);
     figured_.reset();
+    class_ = tenant_ = kNone;
     // A connection that stands idle keeps neither rules that have been replaced nor a long path.
     rewrites_.reset();
     std::string().swap(path_);
--- a/tests/takeover_run.cpp
+++ b/tests/takeover_run.cpp
@@ -1,73 +1,18 @@
 // Two real processes over one inherited listener, twice in a row, under requests: none is turned back, what was said by
 // hand passes on, and the figures are what the clients counted. takeover_run PROGRAM CONFIG
-#include <arpa/inet.h>
 #include <fcntl.h>
 #include <poll.h>
-#include <sys/socket.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 #include <atomic>
-#include <csignal>
 #include <cstdio>
-#include <cstdlib>
-#include <cstring>
-#include <filesystem>
-#include <fstream>
-#include <iterator>
 #include <map>
-#include <string>
 #include <thread>
-#include <vector>
 
-#undef NDEBUG
-#include <cassert>
+#include "node_run.h"
 
-namespace {
-
-sockaddr_in loopback(int port) {
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_port = htons(std::uint16_t(port));
-    at.sin_addr.s_addr = htonl(0x7f400000u + (std::uint32_t(getpid()) & 0x3fffffu) + 1);
-    return at;
-}
-
-struct Listener {
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in at = loopback(0);
-    std::string address;
-    Listener() {
-        socklen_t size = sizeof at;
-        assert(bind(fd, reinterpret_cast<sockaddr*>(&at), size) == 0 && listen(fd, 256) == 0);
-        getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
-        address = std::string(inet_ntoa(at.sin_addr)) + ":" + std::to_string(ntohs(at.sin_port));
-    }
-};
+using namespace ochrehub::run;
 
-int connected(const sockaddr_in& to) {
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    if (connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0) return fd;
-    close(fd);
-    return -1;
-}
-
-/// One exchange; empty where the connection ended first.
-std::string exchange(int fd, const std::string& request) {
-    if (send(fd, request.data(), request.size(), MSG_NOSIGNAL) != ssize_t(request.size())) return {};
-    std::string answer;
-    char bytes[8192];
-    while (true) {
-        std::size_t head = answer.find("\r\n\r\n");
-        std::size_t length = answer.find("Content-Length: ");
-        if (head != std::string::npos && length != std::string::npos &&
-            answer.size() >= head + 4 + std::size_t(std::atol(answer.c_str() + length + 16)))
-            return answer;
-        ssize_t got = read(fd, bytes, sizeof bytes);
-        if (got <= 0) return {};
-        answer.append(bytes, std::size_t(got));
-    }
-}
+namespace {
 
 /// The servers, and discovery, which answers the first call alone.
 void stand_in(std::vector<Listener*> listeners, const std::string& list) {
@@ -100,52 +45,6 @@
         }
 }
 
-struct Node {
-    pid_t pid = -1;
-    sockaddr_in control{};
-
-    void start(const std::string& program, int listener) {
-        sockaddr_in at{};
-        {
-            Listener free;
-            at = free.at, control = free.at;
-            close(free.fd);
-            setenv("GW_CONTROL", free.address.c_str(), 1);
-        }
-        pid = fork();
-        if (pid != 0) return;
-        dup2(listener, 7);
-        close_range(8, ~0U, 0);
-        execl(program.c_str(), program.c_str(), nullptr);
-        _exit(127);
-    }
-    std::string call(const std::string& what) const {
-        int fd = connected(control);
-        if (fd < 0) return {};
-        std::string answer = exchange(fd, what + " HTTP/1.1\r\nHost: o\r\n\r\n");
-        close(fd);
-        return answer;
-    }
-    void until_ready() const {
-        while (!call("GET /ops/readiness").starts_with("HTTP/1.1 200")) {
-            assert(waitpid(pid, nullptr, WNOHANG) == 0);
-            usleep(2000);
-        }
-    }
-    long figure(const std::string& name) const {
-        std::string text = call("GET /ops/stats");
-        std::size_t at = text.find("\n" + name + " ");
-        assert(at != std::string::npos);
-        return std::atol(text.c_str() + at + name.size() + 2);
-    }
-    void stop() const {
-        kill(pid, SIGTERM);
-        int status = -1;
-        waitpid(pid, &status, 0);
-        assert(WIFEXITED(status) && WEXITSTATUS(status) == 0);
-    }
-};
-
 std::atomic<long> next_id{1}, served{0}, refused{0}, turned_back{0};
 
 std::string request() {
@@ -157,7 +56,7 @@
     int fd = -1;
     while (!over) {
         if (fd < 0) fd = connected(to);
-        std::string answer = fd < 0 ? "" : exchange(fd, request());
+        std::string answer = fd < 0 ? "" : ask(fd, request());
         ++(answer.starts_with("HTTP/1.1 200") ? served : answer.starts_with("HTTP/1.1 503") ? refused : turned_back);
         if (fd >= 0 && (!keeps || answer.empty() || answer.find("Connection: close") != std::string::npos)) {
             close(fd);
@@ -172,9 +71,6 @@
 
 int main(int, char** given) {
     alarm(60);  // one that hangs
-    std::signal(SIGPIPE, SIG_IGN);
-    char made[] = "/tmp/takeover.XXXXXX";
-    std::string folder = mkdtemp(made);
     Listener clients, a, b, discovery;
     auto member = [](const char* id, const Listener& l) {
         return std::string("{\"id\":\"") + id + "\",\"host_port\":\"" + l.address +
@@ -183,14 +79,8 @@
     };
     std::string list =
         "{\"revision\":42,\"complete\":true,\"members\":[" + member("s-a", a) + "," + member("s-b", b) + "]}";
-    std::ifstream base(given[2]);
-    std::string config{std::istreambuf_iterator<char>(base), {}};
-    for (auto [name, l] : {std::pair{"$n", &clients}, {"$d", &discovery}, {"$a", &a}})
-        for (std::size_t at; (at = config.find(name)) != std::string::npos;) config.replace(at, 2, l->address);
-    std::ofstream(folder + "/config") << config;
-    setenv("GW_CONFIG", (folder + "/config").c_str(), 1);
+    Setup setup(given[2], {{"$n", clients.address}, {"$d", discovery.address}, {"$a", a.address}});
     setenv("GW_FD", "7", 1);
-    setenv("TMPDIR", folder.c_str(), 1);
     std::thread(stand_in, std::vector<Listener*>{&a, &b, &discovery}, list).detach();
 
     std::vector<Node> nodes(3);
@@ -226,11 +116,10 @@
     while (last.figure("app_current") != 0) usleep(1000);
     long before = last.figure(answered), sends = last.figure("app_sends_total");
     int fd = connected(clients.at);
-    for (int i = 0; i < 100; ++i) assert(exchange(fd, request()).starts_with("HTTP/1.1 200"));
+    for (int i = 0; i < 100; ++i) assert(ask(fd, request()).starts_with("HTTP/1.1 200"));
     while (last.figure(answered) < before + 100) usleep(1000);
     assert(last.figure(answered) == before + 100 && last.figure("app_sends_total") == sends + 100);
     close(fd);
     last.stop();
-    std::filesystem::remove_all(folder);
     return 0;
 }
