--- a/tests/bench_side.h
+++ b/tests/bench_side.h
@@ -39,6 +39,12 @@
     return set;
 }
 
+inline Settings unprobed() {
+    Settings set = make_settings();
+    set.probes = false;
+    return set;
+}
+
 inline ListEntry entry(ServerId id, int zone = 0, int cell = 0) {
     ListEntry e;
     e.server = id;
--- a/tests/hands_rules_test.cpp
+++ b/tests/hands_rules_test.cpp
@@ -8,12 +8,6 @@
 namespace ochrehub::testing {
 namespace {
 
-Settings unprobed() {
-    Settings set = make_settings();
-    set.probes = false;
-    return set;
-}
-
 ByHand out(std::uint64_t key) {
     return {key, true, {}};
 }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -9,12 +9,6 @@
 namespace ochrehub::testing {
 namespace {
 
-Settings unprobed() {
-    Settings set = make_settings();
-    set.probes = false;
-    return set;
-}
-
 /// Opens a connection to each of the servers, so that a limit above one holds there.
 void warm_up(Gateway& g, const std::vector<ServerId>& servers, double ms = 1) {
     RequestId id = 1'000'000;
