Let the TOML file name the second address

A node off the platform had no operators' calls at all: `control` was "no known setting" of the TOML file, though the second address itself knows nothing of the platform.

`control` stands beside `listen` now, with the same calls; what is said there is kept in $TMPDIR as on the platform. The same address for both is a fault.

--- a/src/app/node_config.cpp
+++ b/src/app/node_config.cpp
@@ -46,6 +46,10 @@
 
 }  // namespace
 
+std::string scratch_folder() {
+    return environment("TMPDIR");
+}
+
 NodeConfig read_node_config(Occasion occasion) {
     Report report;
     NodeConfig config = read_node_config(occasion, report);
@@ -89,7 +93,7 @@
         config.discovery = address("GW_DISCOVERY", "discovery", occasion == Occasion::Reload);
         if (!environment("GW_CONTROL").empty() || file.find("control"))
             config.control = address("GW_CONTROL", "control", false);
-        config.scratch = environment("TMPDIR");
+        config.scratch = scratch_folder();
         if (std::string fd = environment("GW_FD"); !fd.empty() && occasion == Occasion::Start)
             config.inherited = takeover::inherited_listener(fd);
         std::string seed(file.find("seed").value_or(""));
--- a/src/app/node_config.h
+++ b/src/app/node_config.h
@@ -32,6 +32,9 @@
     std::string scratch;  ///< a folder that the node's processes share while it lives; may be empty
 };
 
+/// $TMPDIR, or empty.
+std::string scratch_folder();
+
 /// At the start GW_DISCOVERY goes before the file. On reload the file does: it alone can have changed.
 enum class Occasion { Start, Reload };
 
--- a/src/app/plan.cpp
+++ b/src/app/plan.cpp
@@ -42,6 +42,8 @@
     Fitting(config::TomlFile& file, Told& told) : file_(file), told_(told) {}
 
     void check() {
+        if (told_.node.control.port() != 0 && told_.node.control == told_.node.listen)
+            file_.wrong("control", "is that of listen too");
         one_source_of_servers();
         same_twice("class", "name", told_.classes, [](const auto& c) { return c.decisions.name; });
         same_twice("tenant", "name", told_.tenants, [](const auto& t) { return t.name; });
@@ -166,6 +168,8 @@
     plan.node.name = told.node.name;
     plan.node.listen = told.node.listen;
     plan.node.discovery = told.node.discovery;
+    if (told.node.control.port() != 0) plan.node.control = told.node.control;
+    plan.node.scratch = scratch_folder();
     plan.node.seed = told.node.seed ? *told.node.seed : draw_seed();
     plan.node.sockets = told.process.sockets;
     plan.node.memory_mb = told.process.memory_mb;
--- a/src/app/toml_sections.h
+++ b/src/app/toml_sections.h
@@ -20,7 +20,7 @@
 struct Told {
     struct Node {
         std::string name, zone;
-        boost::asio::ip::tcp::endpoint listen, discovery;
+        boost::asio::ip::tcp::endpoint listen, discovery, control;
         std::optional<std::uint64_t> seed;
         int nodes = 1;
         std::vector<std::string> zones;
