--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -244,9 +244,8 @@
             if (stays || now_ - s.listed_at < kForgetAfter) continue;
             index_.erase(s.id);
             std::erase(ranked_, i);
-            std::uint64_t epoch = s.probe_epoch + 1;  // timers of its probes mean nothing to the next
-            s = Server{};
-            s.free = true, s.probe_epoch = epoch;
+            // Timers of its probes mean nothing to the next.
+            s.probe_epoch = std::exchange(s, Server{}).probe_epoch + 1, s.free = true;
         }
     }
 
