Let the module be told by how many gateways the tier's parts are divided

Limits, cold budgets, quotas and subsets go by the settings' number of gateways, though some of them may be gone. The event Sharers replaces that number and this gateway's own among them; without it every decision is as before, and the adapter, which never sends it, is unchanged.

A gateway that is told six, and that it is the second, plays 200 requests over 40 servers send for send as one that was set so from its start.

--- a/include/ochrehub/rules.h
+++ b/include/ochrehub/rules.h
@@ -152,8 +152,14 @@
 struct Twinned {
     bool twin = false;
 };
+/// By how many gateways the tier's limits, budgets and quotas are divided from now on, and which of them this one is
+/// (kNone: it is not known). Without it the settings' numbers count.
+struct Sharers {
+    int gateways = 1;
+    int me = kNone;
+};
 using Event = std::variant<ListUpdate, RequestArrived, AttemptEnded, StreamStarted, ProbeEnded, ClientGone, Woken,
-                           ByHand, Twinned, Uploaded>;
+                           ByHand, Twinned, Uploaded, Sharers>;
 
 // Actions, to be carried out in order.
 struct Forward {  ///< start the next attempt (numbered 0, 1, ... per request)
--- a/tests/hands_rules_test.cpp
+++ b/tests/hands_rules_test.cpp
@@ -27,6 +27,32 @@
     return counts;
 }
 
+// Told by how many its parts are divided, it does as one that was set so from the start.
+TEST(Sharers, CountAsTheSettingsNumbersWould) {
+    Settings few = unprobed(), many = unprobed();
+    for (Settings* set : {&few, &many}) set->tenants = {{40, 0.5}}, set->price_connection = 2;
+    many.balancers = 6, many.me = 2;
+    auto play = [](Settings set, std::optional<Sharers> told) {
+        Gateway g(std::move(set));
+        if (told) g.tell(0, *told);
+        std::vector<ListEntry> list;
+        for (ServerId id = 1; id <= 40; ++id) list.push_back(entry(id));
+        g.list(0, list);
+        std::vector<std::optional<ServerId>> all;
+        for (RequestId id = 0; id < 200; ++id) {
+            double now = 10 + 7 * double(id);
+            g.run_to(now);
+            all.push_back(sent_to(g.arrive(now, id)));
+            if (all.back()) g.ok(now + 5, id, *all.back(), 5);
+        }
+        return all;
+    };
+    auto set = play(many, std::nullopt);
+    EXPECT_EQ(play(few, Sharers{6, 2}), set);
+    EXPECT_NE(play(few, std::nullopt), set);
+    EXPECT_EQ(play(many, Sharers{1, kNone}), play(few, Sharers{1, kNone}));
+}
+
 TEST(ByHand, OutWhateverTheListSaysUntilTheCallBack) {
     Gateway g(unprobed());
     g.list(0, {entry(1), entry(2)});
