--- a/lab/tests/engine_test.cpp
+++ b/lab/tests/engine_test.cpp
@@ -36,7 +36,7 @@
         ++started;
         out_[{id.request, id.attempt}] = std::move(message);
         if (after < 0) return;
-        scheduler_.call_at(scheduler_.now() + Duration{after}, [this, id, outcome] {
+        scheduler_.call_at(scheduler_.now() + Duration{after}, [this, id, outcome = outcome] {
             if (out_.erase({id.request, id.attempt}) == 0) return;
             events->attempt_ended(id, {outcome, {}, outcome == Outcome::Ok ? std::make_shared<Body>(answers) : nullptr});
         });
--- a/src/http/call_reader.cpp
+++ b/src/http/call_reader.cpp
@@ -19,10 +19,8 @@
 
 }  // namespace
 
-CallReader::CallReader(const Engine& engine, const Settings& settings, const Names& names,
-                       const Manner& manner)
-    : engine_(engine),
-      classes_(settings.classes),
+CallReader::CallReader(const Settings& settings, const Names& names, const Manner& manner)
+    : classes_(settings.classes),
       names_(names),
       routes_(manner.routes),
       needs_trace_id_(!manner.makes_trace_ids),
--- a/src/http/call_reader.h
+++ b/src/http/call_reader.h
@@ -16,7 +16,7 @@
 
 class CallReader {
 public:
-    CallReader(const Engine& engine, const Settings& settings, const Names& names, const Manner& manner);
+    CallReader(const Settings& settings, const Names& names, const Manner& manner);
 
     /// What a request asks for. A status other than 200 answers it without the module: what the request says
     /// of itself is wrong. Class and tenant are told as far as they are known even then.
@@ -34,7 +34,6 @@
 private:
     void find_class(const HttpMessage& request, Reading& reading) const;
 
-    const Engine& engine_;
     std::vector<ClassSettings> classes_;
     Names names_;
     std::vector<Route> routes_;
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -44,7 +44,7 @@
       figures_(figures),
       names_(std::move(names)),
       manner_(manner),
-      calls_(engine, settings, names_, manner),
+      calls_(settings, names_, manner),
       protocol_(listen.protocol()),
       acceptor_(io),
       retry_(io),
--- a/tests/bodies_run.cpp
+++ b/tests/bodies_run.cpp
@@ -14,7 +14,12 @@
 
 namespace {
 
-#if defined(__SANITIZE_ADDRESS__)
+#if defined(__has_feature)  // as Clang says it; GCC has a macro of its own
+#if __has_feature(address_sanitizer)
+#define OCHREHUB_SHADOWED
+#endif
+#endif
+#if defined(__SANITIZE_ADDRESS__) || defined(OCHREHUB_SHADOWED)
 constexpr bool kPlain = false;  // its shadow is not the node's memory
 #else
 constexpr bool kPlain = true;
--- a/tests/node_run.h
+++ b/tests/node_run.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <arpa/inet.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -136,6 +137,7 @@
         }
         pid = fork();
         if (pid != 0) return;
+        prctl(PR_SET_PDEATHSIG, SIGKILL);  // a run that fails leaves no node behind, which would hold its runner's pipe
         if (listener >= 0) dup2(listener, 7);
         close_range(listener >= 0 ? 8 : 3, ~0U, 0);
         execl(program.c_str(), program.c_str(), nullptr);
