--- a/lab/swarm/swarm.cpp
+++ b/lab/swarm/swarm.cpp
@@ -127,7 +127,7 @@
             auto about = index(changed->now.who);
             if (changed->now.state == State::Dead && about && up(*about) && !nodes_[*about].stopped) ++called_dead_;
             if (heard) heard(to, *changed);
-        } else {
+        } else if (std::holds_alternative<membership::Over>(action)) {
             node.core.reset();
             break;
         }
--- a/src/admin/calls.cpp
+++ b/src/admin/calls.cpp
@@ -54,6 +54,10 @@
         if (method != "GET") return wrong_method("GET");
         return {200, node.stats(), {}, true};
     }
+    if (path == "/ops/members" && node.members) {
+        if (method != "GET") return wrong_method("GET");
+        return {200, node.members(), {}, false, true};
+    }
     if (path.starts_with(kDown)) return by_hand(node, method, path.substr(kDown.size()), true);
     if (path.starts_with(kUp)) return by_hand(node, method, path.substr(kUp.size()), false);
     return no(404, "no such call");
--- a/src/admin/calls.h
+++ b/src/admin/calls.h
@@ -13,13 +13,15 @@
     std::function<std::string()> stats;  ///< the figures, as they are now
     /// Takes a server out or puts it back. False: nobody has this id. On return it is certain to happen.
     std::function<bool(const std::string& id, bool out)> by_hand;
+    /// What it knows of the fleet, as JSON. Empty: it is in none.
+    std::function<std::string()> members = {};
 };
 
 struct Answer {
     int status = 200;
     std::string body;
     std::string allow;  ///< of a 405: the method that is right
-    bool metrics = false;
+    bool metrics = false, json = false;
 };
 
 Answer answer(const Node& node, std::string_view method, std::string_view target);
--- a/src/admin/desk.cpp
+++ b/src/admin/desk.cpp
@@ -76,7 +76,9 @@
         response_.version(11);
         response_.result(unsigned(answer.status));
         response_.set(http::field::content_type,
-                      answer.metrics ? "text/plain; version=0.0.4; charset=utf-8" : "text/plain; charset=utf-8");
+                      answer.metrics ? "text/plain; version=0.0.4; charset=utf-8"
+                      : answer.json  ? "application/json"
+                                     : "text/plain; charset=utf-8");
         if (!answer.allow.empty()) response_.set(http::field::allow, answer.allow);
         response_.keep_alive(false);
         response_.body() = std::move(answer.body);
--- a/src/admin/side.cpp
+++ b/src/admin/side.cpp
@@ -20,7 +20,7 @@
 }  // namespace
 
 Side::Side(const boost::asio::ip::tcp::endpoint& control, Counters& counters, std::vector<std::string> classes,
-           takeover::Store store, ByHand by_hand)
+           takeover::Store store, ByHand by_hand, Fleet fleet)
     : counters_(counters),
       classes_(std::move(classes)),
       store_(std::move(store)),
@@ -28,8 +28,10 @@
       look_(io_),
       desk_(io_, control,
             {[this] { return serves_.load(std::memory_order_relaxed); },
-             [this] { return metrics(counters_, classes_); },
-             [this](const std::string& id, bool out) { return take(id, out); }}) {
+             [this, figures = fleet.figures] {
+                 return metrics(counters_, classes_) + (figures ? figures() : std::string());
+             },
+             [this](const std::string& id, bool out) { return take(id, out); }, fleet.members}) {
     tell({});
     look();
     // Signals are the node's loop's.
--- a/src/admin/side.h
+++ b/src/admin/side.h
@@ -28,10 +28,15 @@
     /// A server is out from now on, or back, cold since then. Called on the side's own thread.
     using ByHand = std::function<void(std::uint64_t key, bool out, TimePoint since)>;
 
+    /// What another part of the node has to show here; called on the side's own thread.
+    struct Fleet {
+        std::function<std::string()> members, figures;
+    };
+
     /// `counters` must outlive it. What `store` knows of is told before anything else, from the constructor. Throws
     /// boost::system::system_error where it cannot listen.
     Side(const boost::asio::ip::tcp::endpoint& control, Counters& counters, std::vector<std::string> classes,
-         takeover::Store store, ByHand by_hand);
+         takeover::Store store, ByHand by_hand, Fleet fleet = {});
     /// Waits for its thread's end.
     ~Side();
 
--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -21,6 +21,10 @@
 /// Goes through an audit's lines.
 int verify_audit(const std::string& path);
 
+/// What the node at this second address knows of its fleet: a table, or as it came; `watch`: again each second until the
+/// process is stopped. 1: it could not be asked.
+int fleet_members(const std::string& control, bool json, bool watch);
+
 /// The reference of the TOML file's settings, of one section or all, on standard output.
 int print_settings(const std::string& section);
 /// Every setting of the TOML file with its default, in few lines.
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -31,6 +31,7 @@
 #include "figures/figures.h"
 #include "http/front.h"
 #include "http/server_pool.h"
+#include "membership/side.h"
 #include "takeover/pair.h"
 
 namespace ochrehub::app {
@@ -46,6 +47,7 @@
 constexpr std::chrono::milliseconds kListWait{
     2000};  // for the first answer of discovery's, beside another process
 constexpr std::chrono::milliseconds kTwinLook{100};
+constexpr std::chrono::milliseconds kBeat{250};
 
 std::unique_ptr<audit::Journal> open_journal(const Plan& plan) {
     if (!plan.operators.audit.on) return nullptr;
@@ -61,7 +63,7 @@
     auto at_once = [](std::string_view name) {
         std::string_view section = name.substr(0, name.find_first_of(".["));
         return section == "server" || section == "discovery" || section == "rewrites" ||
-               section == "figures" || section == "audit";
+               section == "figures" || section == "audit" || name == "fleet.key_file";
     };
     std::map<std::string, std::string> before, after;
     for (const auto& value : was.values) before[value.name] += value.value + ";";
@@ -143,6 +145,24 @@
     bool twin_ = false;
 };
 
+/// Tells the fleet's side that the node's loop turns.
+class Beats {
+public:
+    Beats(asio::io_context& io, membership::Side& side) : timer_(io), side_(side) { beat(); }
+
+private:
+    void beat() {
+        side_.beat();
+        timer_.expires_after(kBeat);
+        timer_.async_wait([this](boost::system::error_code stopped) {
+            if (!stopped) beat();
+        });
+    }
+
+    asio::steady_timer timer_;
+    membership::Side& side_;
+};
+
 /// Where the list of servers comes from.
 class Servers {
 public:
@@ -177,6 +197,19 @@
     std::optional<discovery::Watcher> watcher_;
 };
 
+void open_fleet(std::optional<membership::Side>& fleet, const Plan& plan, membership::Side::Shares shares) {
+    if (!plan.fleet.on) return;
+    try {
+        fleet.emplace(plan.fleet, plan.node.name, plan.node.settings.balancers, std::move(shares));
+    } catch (const boost::system::system_error& error) {
+        const auto& at = plan.fleet.listen;
+        throw ConfigError(plan.fleet_listen_at + "\"" + at.address().to_string() + ":" + std::to_string(at.port()) +
+                          "\": " + error.code().message());
+    }
+    if (plan.fleet.keys.empty())
+        log(LogLevel::Warn, "the fleet has no key_file: whoever reaches its address is believed");
+}
+
 void serve(const ReadPlan& read) {
     Plan plan = read(Occasion::Start, nullptr);
     log_by(plan.log);
@@ -189,13 +222,18 @@
     auto rev = [&] { return "file rev " + std::to_string(revision); };
     BufferPool pool(config.memory_mb);  // before the loop: pending handlers still hold buffers when it goes
     asio::io_context io{1};
-    const std::size_t reserved = config.control ? admin::Desk::kDescriptors : 0;
+    const std::size_t reserved = (config.control ? admin::Desk::kDescriptors : 0) +
+                                 (plan.fleet.on ? membership::Side::kDescriptors : 0);
     DescriptorBudget budget = DescriptorBudget::of(config.sockets, reserved);
     AsioScheduler scheduler(io);
     Engine engine(scheduler, config.settings, config.seed);
     Counters counters(config.names.classes.size());
     engine.count_in(&counters);
     http::ServerPool connections(io, pool, engine, config.settings, budget.servers, plan.manner, &counters);
+    std::optional<membership::Side> fleet;  // before whatever shows it
+    open_fleet(fleet, plan, [&](int gateways, int me) {
+        asio::post(io, [&engine, gateways, me] { engine.sharers(gateways, me); });
+    });
     std::optional<http::Front> front;  // no list comes before there is one
     std::optional<admin::Side> side;
     Opening opening(io, config.inherited.has_value());
@@ -221,7 +259,9 @@
                      takeover::Store(folder, files, config.name, config.settings.cold_time),
                      [&](std::uint64_t key, bool out, TimePoint since) {
                          asio::post(io, [&engine, key, out, since] { engine.by_hand(key, out, since); });
-                     });
+                     },
+                     fleet ? admin::Side::Fleet{[&] { return fleet->members(); }, [&] { return fleet->figures(); }}
+                           : admin::Side::Fleet{});
     auto halve = [&](bool twin) {
         DescriptorBudget part = DescriptorBudget::of(config.sockets, reserved, twin);
         front->keep_to(part);
@@ -241,8 +281,14 @@
         const rewrite::Rewrites& rewrites = plan.operators.rewrites;
         front->rewrite_by(rewrites.on ? std::make_shared<const rewrite::Rewrites>(rewrites) : nullptr);
         figures.use(plan.operators.figures);
+        if (fleet) fleet->use(plan.fleet.keys);
     };
     apply();
+    std::optional<Beats> beats;
+    if (fleet) {
+        beats.emplace(io, *fleet);
+        fleet->start();
+    }
 
     // SIGHUP: all files are read and checked whole before any of them counts. Only where servers are found
     // and what operators switch on can change under way: the classes that rules may name are those of the
@@ -309,6 +355,7 @@
         record("stop", signal == SIGINT ? "SIGINT" : "SIGTERM",
                std::to_string(engine.open_requests()) + " requests to answer");
         front->drain();
+        if (fleet) fleet->leave();
         show();
         stopped_at = std::chrono::steady_clock::now();
         end_when_quiet();
--- a/src/app/plan.cpp
+++ b/src/app/plan.cpp
@@ -44,6 +44,7 @@
     void check() {
         if (told_.node.control.port() != 0 && told_.node.control == told_.node.listen)
             file_.wrong("control", "is that of listen too");
+        fleet();
         one_source_of_servers();
         same_twice("class", "name", told_.classes, [](const auto& c) { return c.decisions.name; });
         same_twice("tenant", "name", told_.tenants, [](const auto& t) { return t.name; });
@@ -59,6 +60,35 @@
     }
 
 private:
+    void fleet() {
+        membership::Told& fleet = told_.fleet;
+        if (!fleet.on) return;
+        if (fleet.zone.empty()) fleet.zone = told_.node.zone;
+        if (fleet.listen.port() == 0 && !file_.has("fleet.listen"))
+            file_.wrong("fleet.listen", "is missing: where members' datagrams come in");
+        if (fleet.listen.address().is_unspecified() && fleet.listen.port() != 0 && fleet.advertise.port() == 0)
+            file_.wrong("fleet.listen", "is no place to be reached at: `advertise` one beside it");
+        if (fleet.advertise.port() != 0 && fleet.advertise.address().is_unspecified())
+            file_.wrong("fleet.advertise", "is no place to be reached at");
+        for (const char* key : {"fleet.listen", "fleet.advertise"}) {
+            const auto& at = key == std::string_view("fleet.listen") ? fleet.listen : fleet.advertise;
+            if (at.port() != 0 && !at.address().is_v4()) file_.wrong(key, "is no IPv4 address");
+        }
+        auto named = [&](const char* key, const std::string& name, std::size_t most) {
+            if (std::string fault = membership::fault_of_name(name, most); !fault.empty())
+                file_.wrong(key, quoted(name) + " " + fault);
+        };
+        named("name", told_.node.name, membership::kNameMost);
+        named(file_.has("fleet.zone") ? "fleet.zone" : "zone", fleet.zone, membership::kZoneMost);
+        if (fleet.cluster.empty()) file_.wrong("fleet.cluster", "is empty");
+        if (fleet.nodes_least > told_.node.nodes)
+            file_.wrong("fleet.nodes_least", "is more than nodes, " + std::to_string(told_.node.nodes));
+        if (fleet.key_file.empty()) return;
+        membership::KeyFile read = membership::read_keys(fleet.key_file);
+        if (!read.fault.empty()) file_.wrong("fleet.key_file", fleet.key_file + ": " + read.fault);
+        fleet.keys = std::move(read.keys);
+    }
+
     void one_source_of_servers() {
         bool asks = told_.node.discovery.port() != 0;
         if (asks && !told_.servers.empty())
@@ -195,6 +225,8 @@
     if (!settings.must_ask) plan.servers = told.servers;
     plan.operators = told.operators;
     plan.log = told.log;
+    plan.fleet = told.fleet;
+    plan.fleet_listen_at = file.worded("fleet.listen", "");
     plan.audit_file_at = file.worded("audit.file", quoted(told.operators.audit.file) + " ");
     plan.values = file.values();
     return plan;
--- a/src/app/plan.h
+++ b/src/app/plan.h
@@ -12,6 +12,7 @@
 #include "config/toml_file.h"
 #include "discovery/static_list.h"
 #include "http/manner.h"
+#include "membership/settings.h"
 
 namespace ochrehub::app {
 
@@ -22,7 +23,9 @@
     LogSettings log;
     /// Instead of discovery.
     std::optional<std::vector<discovery::StaticServer>> servers;
+    membership::Told fleet;
     std::string audit_file_at;  ///< where the audit's file was named, worded to go before a fault
+    std::string fleet_listen_at;  ///< ... and the fleet's address
     std::vector<config::TomlFile::Value> values;  ///< of a TOML file: to tell what a reload does not change
 };
 
--- a/src/app/toml_sections.cpp
+++ b/src/app/toml_sections.cpp
@@ -94,7 +94,8 @@
         {"limits", limits, into},
         {"safety", safety_settings(), into.settings},
         {"prices", price_settings(), into.settings},
-        {"log", log_settings(), into.log}};
+        {"log", log_settings(), into.log},
+        {"fleet", membership::settings(), into.fleet}};
     for (config::Section& section : operator_sections(into.operators, &into.class_names))
         sections.push_back(std::move(section));
     return sections;
--- a/src/app/toml_sections.h
+++ b/src/app/toml_sections.h
@@ -13,6 +13,7 @@
 #include "discovery/static_list.h"
 #include "engine/settings.h"
 #include "http/manner.h"
+#include "membership/settings.h"
 
 namespace ochrehub::app {
 
@@ -38,6 +39,7 @@
     Settings settings;
     http::Manner manner;
     LogSettings log;
+    membership::Told fleet;
     std::vector<Class> classes;
     std::vector<std::string> class_names;
     std::vector<NamedTenant> tenants;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -16,7 +16,7 @@
 
 constexpr const char* kUsage = "usage: ochrehub [-f FILE] | check FILE | audit verify FILE\n";
 
-/// Help that fits a screen: the options in lines of their own, then `more`.
+/// Help that fits a screen: the options in lines of their own, without a heading, then `more`.
 class Brief : public CLI::Formatter {
 public:
     std::string make_help(const CLI::App* app, std::string name, CLI::AppFormatMode mode) const override {
@@ -24,6 +24,8 @@
         std::string out;
         for (std::size_t i = 0; i < help.size(); ++i)  // no empty lines
             if (help[i] != '\n' || (!out.empty() && out.back() != '\n')) out += help[i];
+        constexpr std::string_view kHeading = "\nOptions:\n";
+        if (std::size_t at = out.find(kHeading); at != std::string::npos) out.erase(at, kHeading.size() - 1);
         return out;
     }
 };
@@ -81,6 +83,18 @@
     settings->footer("It has no settings but this.");
     settings->callback([&] { status = app::print_settings(section); });
 
+    std::string control;
+    bool json = false, watch = false;
+    CLI::App* fleet = app.add_subcommand("fleet", "What the nodes of a fleet know of each other");
+    fleet->require_subcommand(1);
+    fleet->footer("It has no settings. The file's [fleet] joins a node to a fleet: `ochrehub settings fleet`.");
+    CLI::App* members = fleet->add_subcommand("members", "The members, as one node sees them");
+    members->add_option("--control", control, "the second address of that node")->required()->type_name("ADDR");
+    members->add_flag("--json", json, "as the node has it, in JSON");
+    members->add_flag("--watch", watch, "again each second, until it is stopped");
+    members->footer("It has no settings but these. Exit status: 0 done, 1 the node could not be asked.");
+    members->callback([&] { status = app::fleet_members(control, json, watch); });
+
     // Behind them all: commands take it over from here where they have none yet.
     app.footer(
         "Without a command it serves as the platform says in GW_CONFIG (and GW_NAME, GW_LISTEN,\n"
@@ -93,8 +107,8 @@
         if (error.get_exit_code() == 0) return app.exit(error);  // --help and --version
         std::fputs(kUsage, stderr);
         std::fprintf(stderr,
-                     "or: ochrehub node --config FILE.toml | check FILE [FILE] | settings [SECTION] | --help "
-                     "| --version\n%s\n",
+                     "or: ochrehub node --config FILE.toml | check FILE [FILE] | settings [SECTION] | "
+                     "fleet members --control ADDR | --help | --version\n%s\n",
                      error.what());
         return 2;
     }
--- a/src/membership/datagram.cpp
+++ b/src/membership/datagram.cpp
@@ -3,12 +3,19 @@
 #include <nettle/hmac.h>
 #include <nettle/memops.h>
 
+#include <algorithm>
 #include <array>
 
+#include "ochrehub/hash.h"
+
 namespace ochrehub::membership {
 namespace {
 
-constexpr std::uint8_t kVersion = 1;
+constexpr std::uint8_t kVersion = 2;
+
+bool printable(char c) {
+    return c > ' ' && c < 127 && c != '"' && c != '\\';
+}
 
 class Writer {
 public:
@@ -24,11 +31,17 @@
     void put(const Update& update) {
         put(update.who);
         put(update.incarnation);
-        put(std::uint8_t(std::uint8_t(update.state) << 4 | std::uint8_t(update.role)));
+        put(std::uint8_t(std::uint8_t(update.state) << 6 | std::uint8_t(update.role) << 4 | update.said));
         put(update.zone);
         put(update.speaks);
     }
 
+    template <class Text>
+    void put_text(const Text& text) {
+        put(std::uint8_t(text.size()));
+        out_.append(text.data(), text.size());
+    }
+
 private:
     std::string& out_;
 };
@@ -53,11 +66,22 @@
         update.who = take_place();
         update.incarnation = take<std::uint32_t>();
         auto both = take<std::uint8_t>();
-        update.state = State(both >> 4);
-        update.role = Role(both & 15);
+        update.state = State(both >> 6);
+        update.role = Role(both >> 4 & 3);
+        update.said = both & 15;
         update.zone = take<std::uint8_t>();
         update.speaks = take<std::uint8_t>();
-        return update.who.known() && update.state <= State::Left && update.role <= Role::Planner;
+        return update.who.known() && update.role <= Role::Planner && update.said <= kSaysAll;
+    }
+    /// False: too long, cut, or not printable: names reach logs and terminals.
+    template <class Text>
+    bool take_text(Text& text) {
+        if (left() < 1) return false;
+        auto size = take<std::uint8_t>();
+        if (size > text.capacity() || left() < size) return false;
+        text.assign(octets_.begin() + std::ptrdiff_t(at_), octets_.begin() + std::ptrdiff_t(at_ + size));
+        at_ += size;
+        return std::all_of(text.begin(), text.end(), printable);
     }
     std::size_t left() const { return octets_.size() - at_; }
 
@@ -94,18 +118,26 @@
     return std::nullopt;
 }
 
-std::string encode(const Datagram& datagram, const Keys& keys) {
+std::uint32_t fingerprint(std::string_view cluster) {
+    std::uint64_t whole = hashed(cluster);
+    return std::uint32_t(whole ^ whole >> 32);
+}
+
+std::string encode(const Datagram& datagram, const Keys& keys, std::uint32_t cluster) {
     std::string out;
     out.reserve(kMostOctets);
     Writer writer(out);
     writer.put(kVersion);
     writer.put(std::uint8_t(datagram.kind));
+    writer.put(cluster);
     writer.put(datagram.sequence);
     writer.put(datagram.from);
-    writer.put(std::uint8_t(0));
+    writer.put(datagram.instance);
     writer.put(datagram.plan.epoch);
     writer.put(datagram.plan.number);
     writer.put(datagram.about);
+    writer.put_text(datagram.name);
+    writer.put_text(datagram.zone);
     writer.put(std::uint8_t(datagram.updates.size()));
     for (const Update& update : datagram.updates) {
         writer.put(update);
@@ -116,11 +148,12 @@
 }
 
 std::string_view name(Fault fault) {
-    constexpr std::array<std::string_view, kFaults> kNames{"none", "short", "long", "forged", "version", "malformed"};
+    constexpr std::array<std::string_view, kFaults> kNames{"none",      "short",  "long", "forged", "version",
+                                                               "malformed", "cluster"};
     return kNames[std::size_t(fault)];
 }
 
-Fault decode(std::string_view octets, const Keys& keys, Datagram& out) {
+Fault decode(std::string_view octets, const Keys& keys, Datagram& out, std::uint32_t cluster) {
     if (octets.size() > kMostOctets) return Fault::Long;
     auto opened = keys.open(octets);
     if (!opened) return Fault::Forged;
@@ -130,14 +163,16 @@
     if (opened->size() < kHead) return Fault::Short;
     auto kind = reader.take<std::uint8_t>();
     if (kind >= kKinds) return Fault::Malformed;
+    if (reader.take<std::uint32_t>() != cluster) return Fault::Cluster;
     out.kind = Kind(kind);
     out.sequence = reader.take<std::uint32_t>();
     if (!reader.take(out.from)) return Fault::Malformed;
     if (out.from.state != State::Alive && out.from.state != State::Left) return Fault::Malformed;
-    reader.take<std::uint8_t>();
+    out.instance = reader.take<std::uint32_t>();
     out.plan.epoch = reader.take<std::uint32_t>();
     out.plan.number = reader.take<std::uint32_t>();
     out.about = reader.take_place();
+    if (!reader.take_text(out.name) || !reader.take_text(out.zone) || reader.left() < 1) return Fault::Malformed;
     auto count = reader.take<std::uint8_t>();
     if (count > kMostUpdates || reader.left() != count * kUpdate) return Fault::Malformed;
     out.updates.clear();
--- a/src/membership/datagram.h
+++ b/src/membership/datagram.h
@@ -1,11 +1,12 @@
 // Datagrams between members and their octets. A datagram is at most 256 octets, its authentication included; all
 // numbers are big-endian.
 //
-//     version 1, kind 1, sequence 4, sender 14, plan epoch 4 and number 4, about 6, updates 1, updates of 15, tag 16
+//     version 1, kind 1, cluster 4, sequence 4, sender 13, instance 4, plan epoch 4 and number 4, about 6, name 1 and so
+//     many octets, zone's name 1 and so many, updates 1, updates of 15, tag 16
 //
-// An update: host 4, port 2, incarnation 4, state and role 1, zone 1, speaks 1, accuser 2. The sender is one without
-// its accuser, and one octet that is zero. The tag is the first half of an HMAC-SHA256 of all before it and stands
-// there where keys are set.
+// An update: host 4, port 2, incarnation 4, state 2 bits, role 2 and said 4, zone 1, speaks 1, accuser 2. The sender is
+// one without its accuser. The tag is the first half of an HMAC-SHA256 of all before it and stands there where keys are
+// set. Version 1 had no cluster, instance, names or word of its own.
 #pragma once
 
 #include <boost/container/static_vector.hpp>
@@ -32,13 +33,22 @@
 };
 inline constexpr std::uint8_t kKinds = 7;
 
-inline constexpr std::size_t kMostOctets = 256, kTag = 16, kHead = 35, kUpdate = 15;
-inline constexpr std::size_t kMostUpdates = (kMostOctets - kHead - kTag) / kUpdate;  // 13
+inline constexpr std::size_t kMostOctets = 256, kTag = 16, kHead = 44, kUpdate = 15;  // the head with empty names
+inline constexpr std::size_t kNameMost = 20, kZoneMost = 11;
+inline constexpr std::size_t kMostUpdates = (kMostOctets - kHead - kNameMost - kZoneMost - kTag) / kUpdate;  // 11
+
+/// What tells two tiers on one network apart: made of the cluster's name.
+std::uint32_t fingerprint(std::string_view cluster);
+using Name = boost::container::static_vector<char, kNameMost>;
+using ZoneName = boost::container::static_vector<char, kZoneMost>;
 
 struct Datagram {
     Kind kind = Kind::Gossip;
     std::uint32_t sequence = 0;
     Update from;
+    std::uint32_t instance = 0;  ///< drawn at each start: tells a process from the one before it at its place
+    Name name;                   ///< of the sender, for people
+    ZoneName zone;
     PlanInForce plan;
     Place about;
     boost::container::static_vector<Update, kMostUpdates> updates;
@@ -60,13 +70,13 @@
     std::vector<std::string> keys_;
 };
 
-std::string encode(const Datagram& datagram, const Keys& keys);
+std::string encode(const Datagram& datagram, const Keys& keys, std::uint32_t cluster = 0);
 
-enum class Fault : std::uint8_t { None, Short, Long, Forged, Version, Malformed };
-inline constexpr std::size_t kFaults = 6;
+enum class Fault : std::uint8_t { None, Short, Long, Forged, Version, Malformed, Cluster };
+inline constexpr std::size_t kFaults = 7;
 std::string_view name(Fault fault);
 
 /// `out` counts only where there is no fault. Reads no octet outside of `octets`, whatever they claim.
-Fault decode(std::string_view octets, const Keys& keys, Datagram& out);
+Fault decode(std::string_view octets, const Keys& keys, Datagram& out, std::uint32_t cluster = 0);
 
 }  // namespace ochrehub::membership
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -23,6 +23,12 @@
 /// In the order in which one outranks another of the same incarnation.
 enum class State : std::uint8_t { Alive, Suspect, Dead, Left };
 
+/// What a member says of itself, bits of `Update::said`.
+inline constexpr std::uint8_t kSaysDeaf = 1;     ///< it hears nobody
+inline constexpr std::uint8_t kSaysUnheard = 2;  ///< it hears, and nobody answers
+inline constexpr std::uint8_t kSaysStalled = 4;  ///< its own loop, which serves requests, stands still
+inline constexpr std::uint8_t kSaysIsolated = kSaysDeaf | kSaysUnheard, kSaysAll = 7;
+
 /// The plan that a member serves by, in its own words; zeros: none.
 struct PlanInForce {
     std::uint32_t epoch = 0, number = 0;
@@ -36,6 +42,7 @@
     Role role = Role::Forwarder;
     std::uint8_t zone = 0;
     std::uint8_t speaks = 0;  ///< the newest version of plans that it reads
+    std::uint8_t said = 0;    ///< by `who` of itself; it raises its incarnation where that changes
     std::uint16_t accuser = 0;  ///< Suspect: the mark of whoever found it silent itself
 
     friend bool operator==(const Update&, const Update&) = default;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -17,6 +17,12 @@
 constexpr Duration kKnock{10'000};     // between looks for those that are gone, and for seeds that are not seen
 constexpr double kNackAfter = 0.8;     // of a helper's time-out: before whoever asked has ended its probe
 constexpr int kPageTries = 4;
+// Behind a return others that are taken for dead are most likely back too: three at a time, twice an interval.
+constexpr std::size_t kKnocksAtOnce = 3, kHurriedMost = 64;
+constexpr double kAskAt = 0.6;         // of the time to isolation: from then on others are asked whether it is heard
+constexpr std::size_t kAskOf = 3;      // ... so many an interval
+constexpr std::uint32_t kOwnRecent = 256;  // of its own sequence numbers, so many last ones may be answered
+constexpr Duration kDoubledWithin{60'000};
 constexpr int kGoodbyes = 4;
 constexpr std::size_t kGoodbyeTo = 4;
 // Incarnations rise by one with each refutation. One that is beyond this was made up, and refuting it would end in the
@@ -35,6 +41,7 @@
     self_.role = set_.role;
     self_.zone = set_.zone;
     self_.speaks = set_.speaks;
+    sequence_ = set_.instance;  // what answered an earlier process at this place answers nothing of this one's
     probe_.slot = kNobody;
 }
 
@@ -46,10 +53,14 @@
     if (woken_for_ && now - *woken_for_ > set_.timeout) {
         Duration lost = now - *woken_for_;
         ++counts_.late;
-        doubt(1);
-        probe_.slot = kNobody;
-        relays_.clear();
-        for (std::uint32_t slot : suspects_) members_[slot].until += lost;
+        heard_at_ += lost;
+        answered_at_ += lost;
+        if (set_.lifeguard) {
+            doubt(1);
+            probe_.slot = kNobody;
+            relays_.clear();
+            for (std::uint32_t slot : suspects_) members_[slot].until += lost;
+        }
         woken_for_.reset();
     }
     std::visit([this](const auto& e) { on(e); }, event);
@@ -74,6 +85,7 @@
         next_probe_ = now_ + uniform() * set_.interval;
         next_gossip_ = now_;
         next_knock_ = now_ + (0.5 + uniform()) * kKnock;
+        heard_at_ = answered_at_ = now_;
         fetch_wait_ = kFetchAgain;
         if (!set_.seeds.empty()) fetch(set_.seeds[seed_at_ = below(std::uint32_t(set_.seeds.size()))], {});
     }
@@ -92,6 +104,7 @@
         probe_next();
     }
     expire();
+    if (goodbyes_ < 0) look_at_itself();
     if (now_ >= next_gossip_) gossip();
     if (now_ >= next_knock_ && goodbyes_ < 0) knock();
     if (now_ >= fetch_again_) {
@@ -116,6 +129,9 @@
 TimePoint Membership::next_wake() const {
     TimePoint next = goodbyes_ < 0 ? std::min(next_probe_, next_knock_) : TimePoint::max();
     next = std::min({next, next_gossip_, fetch_until_, fetch_again_});
+    if (goodbyes_ < 0 && !isolated())
+        next = std::min({next, answered_at_ + set_.isolated_after,
+                         std::max(next_ask_, answered_at_ + kAskAt * set_.isolated_after)});
     if (probe_.slot != kNobody && !probe_.answered && !probe_.asked) next = std::min(next, probe_.ask_others);
     for (std::uint32_t slot : suspects_) next = std::min(next, members_[slot].until);
     for (const Relay& relay : relays_) next = std::min(next, relay.nacked ? relay.end : relay.nack_at);
@@ -197,11 +213,11 @@
 void Membership::receive(const Datagram& d) {
     if (d.from.who == set_.self) return;
     ++counts_.received;
+    heard_at_ = now_;
     take(d.from, true);
-    if (std::uint32_t slot = slot_of(d.from.who); slot != kNobody) {
-        members_[slot].plan = d.plan;
-        members_[slot].met = true;
-    }
+    met(d);
+    bool answers = d.kind == Kind::Ack || d.kind == Kind::Nack || d.kind == Kind::Listed;
+    if (answers && sequence_ - d.sequence < kOwnRecent) answered();
     // What a list holds is told by lists: to gossip of all of it takes a minute where many join at once.
     listing_ = d.kind == Kind::Listed;
     for (const Update& update : d.updates) take(update, false);
@@ -214,7 +230,8 @@
             }
             // What it may refute it must hear, or it would be here and gone at once.
             const Member* member = find(d.from.who);
-            bool believed = !member || member->update.state == State::Alive || d.from.state == State::Left;
+            bool believed = !member || (member->update.state == State::Alive && member->update.incarnation <= d.from.incarnation) ||
+                            d.from.state == State::Left;
             Update belief = member ? member->update : Update{};
             send(d.from.who, make(Kind::Ack, d.sequence, set_.self), believed ? nullptr : &belief);
             return;
@@ -255,6 +272,78 @@
     }
 }
 
+void Membership::met(const Datagram& d) {
+    std::uint32_t slot = slot_of(d.from.who);
+    if (slot == kNobody) return;
+    Slot& member = members_[slot];
+    member.plan = d.plan;
+    member.heard = now_;
+    member.name = d.name;
+    member.zone_name = d.zone;
+    if (std::exchange(member.met, true) && d.instance != member.instance) {
+        // One that goes back to who it was before is two.
+        bool doubled = d.instance == member.instance_before && member.restarts > 0;
+        bool known = doubled && member.doubled != TimePoint{} && now_ - member.doubled < kDoubledWithin;
+        member.instance_before = member.instance;
+        if (!doubled) ++member.restarts;
+        if (doubled) member.doubled = now_, ++counts_.doubled;
+        if (!known) actions_->push_back(Restarted{d.from.who, d.instance, doubled});
+    }
+    member.instance = d.instance;
+}
+
+// ---- Itself
+
+/// Somebody is there to be heard, or should be.
+bool Membership::anybody() const {
+    if (index_.empty()) return !set_.seeds.empty();
+    return std::any_of(index_.begin(), index_.end(),
+                       [this](const auto& one) { return members_[one.second].update.state != State::Left; });
+}
+
+void Membership::answered() {
+    answered_at_ = now_;
+    next_ask_ = TimePoint::max();
+    if (!isolated()) return;
+    say(self_.said & std::uint8_t(~kSaysIsolated));
+    hurry();  // whom it took for dead meanwhile hears of it, and nobody else
+}
+
+// Found alone: others cannot tell it whom it does not hear, nor one that they do not hear. Told to all once it can be.
+void Membership::look_at_itself() {
+    if (now_ - answered_at_ < kAskAt * set_.isolated_after || isolated()) return;
+    if (!anybody()) {
+        answered_at_ = now_;
+        return;
+    }
+    if (now_ - answered_at_ >= set_.isolated_after) {
+        ++counts_.isolated;
+        next_ask_ = TimePoint::max();
+        say((self_.said & kSaysStalled) | (now_ - heard_at_ >= kAskAt * set_.isolated_after ? kSaysDeaf : kSaysUnheard));
+        next_knock_ = std::min(next_knock_, now_ + 2 * set_.interval);
+    } else if (next_ask_ == TimePoint::max() || now_ >= next_ask_) {
+        next_ask_ = now_ + set_.interval;
+        for (std::uint32_t slot : some_here(kAskOf, {}))
+            send(members_[slot].update.who, make(Kind::Ping, ++sequence_, members_[slot].update.who));
+    }
+}
+
+void Membership::say(std::uint8_t said) {
+    if (self_.said == said) return;
+    self_.said = said;
+    ++self_.incarnation;
+    self_news_ = refuting_ = true;
+    self_told_ = 0;
+    next_gossip_ = std::min(next_gossip_, now_);
+    actions_->push_back(OfItself{said});
+}
+
+void Membership::hurry() {
+    std::size_t dead = index_.size() - std::min(index_.size(), here_);
+    hurried_ = std::min(2 * dead, kHurriedMost);
+    if (dead > 0) next_knock_ = std::min(next_knock_, now_ + uniform() * set_.interval / 2);
+}
+
 void Membership::take(const Update& update, bool by_itself) {
     if (update.incarnation > kMostIncarnation) return;
     if (update.who == set_.self) return take_of_self(update);
@@ -274,6 +363,7 @@
         member.update.role = update.role;
         member.update.zone = update.zone;
         member.update.speaks = update.speaks;
+        member.update.said = update.said;
         return;
     }
     if (!outranks(update, member.update)) return;
@@ -305,12 +395,15 @@
     Slot& member = members_[slot];
     State was = member.update.state;
     if (was == State::Suspect) std::erase(suspects_, slot);
+    bool says_else = member.update.said != update.said;
     here_ += std::size_t(is_here(update.state)) - std::size_t(is_here(was));
     member.update = update;
+    member.alone = false;
     tell_of(slot, !is_here(update.state) || !is_here(was));
-    if (was == update.state) return;
-    member.changed = now_;
+    if (was == update.state && !says_else) return;
+    if (was != update.state) member.changed = now_;
     actions_->push_back(Changed{update, was});
+    if (!is_here(was) && is_here(update.state)) hurry();
 }
 
 void Membership::suspect(std::uint32_t slot, const Update& update) {
@@ -330,6 +423,10 @@
 // The time that a suspect has falls with each other member that finds it silent too: a lone accuser may be the one that
 // is cut off.
 void Membership::confirm(Slot& member, std::uint16_t accuser) {
+    if (!set_.lifeguard) {  // one accuser is as good as four
+        if (member.accused++ == 0) member.until = member.began + suspicion_least();
+        return;
+    }
     int most = std::clamp(int(here_) - 1, 1, kConfirmations + 1);  // the first included
     auto end = member.accusers + member.accused;
     if (std::find(member.accusers, end, accuser) != end || member.accused >= most || member.last_call) return;
@@ -351,7 +448,7 @@
         Update update = members_[slot].update;
         // Gossip misses somebody now and then, also with what was refuted long ago: it is asked once more before all
         // hear that it is dead.
-        if (!std::exchange(members_[slot].last_call, true)) {
+        if (set_.last_call && !std::exchange(members_[slot].last_call, true)) {
             members_[slot].until = now_ + 2 * set_.timeout;
             send(update.who, make(Kind::Ping, ++sequence_, update.who), &update);
             continue;
@@ -359,6 +456,8 @@
         update.state = State::Dead;
         update.accuser = 0;
         set(slot, update);  // takes it off suspects_
+        // Guards against one that hears nobody: all others are dead to it, and it may still be heard.
+        if (isolated()) members_[slot].alone = true;
     }
 }
 
@@ -405,6 +504,9 @@
     d.kind = kind;
     d.sequence = sequence;
     d.from = self_;
+    d.instance = set_.instance;
+    d.name = set_.name;
+    d.zone = set_.zone_name;
     d.plan = plan_;
     d.about = about;
     return d;
@@ -419,6 +521,7 @@
         --room;
         if (++self_told_ >= most && goodbyes_ < 0) self_news_ = false;
     }
+    if (isolated()) room = 0;  // whatever it has found since then is its own trouble
     if (news_.size() > room) {  // what was told least goes first
         std::nth_element(news_.begin(), news_.begin() + std::ptrdiff_t(room), news_.end(),
                          [this](std::uint32_t a, std::uint32_t b) {
@@ -429,6 +532,10 @@
     std::size_t told = std::min(room, news_.size());
     for (std::size_t i = 0; i < told; ++i) {
         Slot& member = members_[news_[i]];
+        if (member.alone) {
+            member.told = most;
+            continue;
+        }
         datagram.updates.push_back(member.update);
         ++member.told;
     }
@@ -474,7 +581,9 @@
 // A partition that has healed shows only if someone asks those that it took for dead. Each asks one now and then, so
 // that all together ask for each as often, whatever the size of the tier.
 void Membership::knock() {
-    next_knock_ = now_ + (0.75 + 0.5 * uniform()) * kKnock;
+    bool hurried = hurried_ > 0 || isolated();
+    hurried_ -= hurried_ > 0;
+    next_knock_ = now_ + (0.75 + 0.5 * uniform()) * (hurried_ > 0 ? set_.interval / 2 : isolated() ? 2 * set_.interval : kKnock);
     std::vector<std::uint32_t> old;
     std::vector<std::uint32_t> dead;
     for (const auto& [place, slot] : index_) {
@@ -496,9 +605,19 @@
         fetch_tries_ = 3 * int(set_.seeds.size());  // once: the next knock is soon enough
         fetch(unseen[below(std::uint32_t(unseen.size()))], {});
     }
+    if (dead.empty()) hurried_ = 0;
     if (dead.empty()) return;
-    Update belief = members_[dead[below(std::uint32_t(dead.size()))]].update;
-    send(belief.who, make(Kind::Ping, ++sequence_, belief.who), &belief);
+    // In the order of their places where many are asked, so that none is left out.
+    std::size_t first = below(std::uint32_t(dead.size()));
+    if (hurried)
+        first = std::size_t(std::find_if(dead.begin(), dead.end(), [this](std::uint32_t slot) {
+                                return members_[slot].update.who > knocked_;
+                            }) - dead.begin());
+    for (std::size_t i = 0; i < std::min(dead.size(), hurried ? kKnocksAtOnce : 1); ++i) {
+        Update belief = members_[dead[(first + i) % dead.size()]].update;
+        knocked_ = belief.who;
+        send(belief.who, make(Kind::Ping, ++sequence_, belief.who), &belief);
+    }
 }
 
 // ---- The table
@@ -560,6 +679,7 @@
 }
 
 void Membership::doubt(int by) {
+    if (!set_.lifeguard) return;
     doubt_ = std::clamp(doubt_ + by, 0, kDoubtMost);
 }
 
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -25,6 +25,9 @@
     Place self;
     Role role = Role::Forwarder;
     std::uint8_t zone = 0, speaks = 1;
+    std::uint32_t instance = 0;  ///< drawn by whoever starts the process
+    Name name;                   ///< for people, as is ...
+    ZoneName zone_name;
     std::vector<Place> seeds;  ///< asked for the rest, at the start and again while they are not seen
     Duration interval{500};    ///< between pings
     Duration timeout{150};     ///< for an answer, before others are asked to try; under half of `interval`
@@ -33,6 +36,10 @@
     double suspicion_most = 6; ///< ... and so many times that while nobody else suspects it
     Duration forget{600'000};  ///< after which one that is dead or has left is forgotten
     std::size_t most = 4096;   ///< members that are kept, those that are gone included; others are not taken in
+    Duration isolated_after{5000};  ///< without an answer from anybody
+    // For comparisons alone, in the lab: plain SWIM is without both.
+    bool lifeguard = true;  ///< doubts itself, lets accusers add up, gives back the time that it stood still
+    bool last_call = true;  ///< asks a suspect once more before it is dead
 };
 
 // ---- What happens
@@ -43,8 +50,11 @@
 struct NewPlan {
     PlanInForce plan;
 };
+struct Says {  ///< the loop that serves requests stands still, or does no longer
+    bool stalled = false;
+};
 struct Leave {};  ///< says so to others and ends; nothing but Woken is to follow
-using Event = std::variant<Woken, Received, NewPlan, Leave>;
+using Event = std::variant<Woken, Received, NewPlan, Says, Leave>;
 
 // ---- What is to be done about it
 struct Send {
@@ -54,12 +64,20 @@
 struct WakeAt {  ///< replaces what was asked for before
     TimePoint at;
 };
-struct Changed {  ///< what is believed of a member, or that one is new
+struct Changed {  ///< what is believed of a member, or what it says of itself, or that one is new
     Update now;
     std::optional<State> was;
 };
+struct Restarted {  ///< another process speaks at that place; `doubled`: the one before it still does too
+    Place who;
+    std::uint32_t instance = 0;
+    bool doubled = false;
+};
+struct OfItself {  ///< what this member says of itself from now on
+    std::uint8_t said = 0;
+};
 struct Over {};  ///< all that leaving needs has been said
-using Action = std::variant<Send, WakeAt, Changed, Over>;
+using Action = std::variant<Send, WakeAt, Changed, Restarted, OfItself, Over>;
 using Actions = std::vector<Action>;
 
 class Membership {
@@ -73,6 +91,12 @@
         PlanInForce plan;       ///< as it last said itself
         TimePoint changed{};    ///< when its state became what it is
         bool met = false;       ///< it has spoken to this one itself
+        std::uint32_t instance = 0, instance_before = 0;  ///< as it last said itself
+        std::uint32_t restarts = 0;
+        TimePoint heard{};      ///< itself, last
+        TimePoint doubled{};    ///< when two processes were last seen to speak at its place
+        Name name;
+        ZoneName zone_name;
     };
     /// All that are known but itself, in the order of their places. For looking at between calls alone.
     template <class F>
@@ -84,9 +108,13 @@
     std::size_t here() const { return here_; }          ///< Alive or Suspect, without itself
     std::uint32_t incarnation() const { return self_.incarnation; }
     int doubt() const { return doubt_; }  ///< in itself, from 0 to kDoubtMost
+    const Update& self() const { return self_; }
+    const Settings& settings() const { return set_; }
+    TimePoint isolated_since() const { return answered_at_; }  ///< where `self().said` says that it is isolated
 
     struct Counts {
-        std::uint64_t sent = 0, received = 0, probes = 0, failed = 0, refuted = 0, late = 0, strangers = 0, full = 0;
+        std::uint64_t sent = 0, received = 0, probes = 0, failed = 0, refuted = 0, late = 0, strangers = 0, full = 0,
+                      doubled = 0, isolated = 0;
     };
     const Counts& counts() const { return counts_; }
 
@@ -100,6 +128,7 @@
     struct Slot : Member {
         bool news = false, urgent = false;
         bool last_call = false;  ///< Suspect: it was asked once more
+        bool alone = false;      ///< Dead: found by this one alone, while it was isolated; told to nobody
         int told = 0;          ///< how often its news went out
         TimePoint until{};     ///< Suspect: when it is dead
         TimePoint began{};     ///< ... and since when
@@ -123,6 +152,9 @@
     void on(const Woken&);
     void on(const Received& event);
     void on(const NewPlan& event) { plan_ = event.plan; }
+    void on(const Says& event) {
+        say(std::uint8_t((self_.said & kSaysIsolated) | (event.stalled ? kSaysStalled : 0)));
+    }
     void on(const Leave&);
 
     void receive(const Datagram& d);
@@ -144,6 +176,13 @@
     void list(const Datagram& d);
     void expire();
     void doubt(int by);
+    bool isolated() const { return (self_.said & kSaysIsolated) != 0; }
+    bool anybody() const;
+    void met(const Datagram& d);
+    void answered();
+    void look_at_itself();
+    void say(std::uint8_t said);
+    void hurry();
     TimePoint next_wake() const;
 
     std::uint32_t slot_of(const Place& place) const;
@@ -185,6 +224,9 @@
               fetch_again_ = TimePoint::max();
     std::optional<TimePoint> woken_for_;
     int doubt_ = 0, goodbyes_ = -1;  // goodbyes: ticks of gossip left; negative: it stays
+    TimePoint heard_at_{}, answered_at_{}, next_ask_ = TimePoint::max();
+    Place knocked_;              // the last that was knocked at
+    std::size_t hurried_ = 0;    // knocks left that do not wait
     bool started_ = false, over_ = false;
     Counts counts_;
 };
--- a/src/membership/udp.cpp
+++ b/src/membership/udp.cpp
@@ -18,16 +18,17 @@
 }
 
 Settings UdpMember::placed(Settings settings, const Place& place) {
-    settings.self = place;
+    if (!settings.self.known()) settings.self = place;
     return settings;
 }
 
 UdpMember::UdpMember(asio::io_context& io, Scheduler& scheduler, const Endpoint& listen, Settings settings, Keys keys,
-                     std::uint64_t seed)
+                     std::uint64_t seed, std::uint32_t cluster)
     : scheduler_(scheduler),
       socket_(io),
       place_(bound(socket_, listen)),
       keys_(std::move(keys)),
+      cluster_(cluster),
       core_(placed(std::move(settings), place_), seed) {
     read();
 }
@@ -38,7 +39,7 @@
         // An ICMP answer to one of its own datagrams ends a wait on Linux; the socket is as good as before.
         if (!error) {
             Datagram datagram;
-            Fault fault = decode({octets_.data(), size}, keys_, datagram);
+            Fault fault = decode({octets_.data(), size}, keys_, datagram, cluster_);
             if (fault == Fault::None)
                 hand(Received{std::move(datagram)});
             else
@@ -60,6 +61,10 @@
             wake_at(wake->at);
         else if (const auto* change = std::get_if<Changed>(&action))
             changed ? changed(*change) : void();
+        else if (const auto* other = std::get_if<Restarted>(&action))
+            restarted ? restarted(*other) : void();
+        else if (const auto* itself = std::get_if<OfItself>(&action))
+            of_itself ? of_itself(*itself) : void();
         else
             over = true;
     }
@@ -71,13 +76,13 @@
 void UdpMember::send(const Send& send) {
     error_code error;
     Endpoint to(asio::ip::address_v4(send.to.host), send.to.port);
-    socket_.send_to(asio::buffer(encode(send.datagram, keys_)), to, 0, error);
+    socket_.send_to(asio::buffer(encode(send.datagram, keys_, cluster_)), to, 0, error);
     unsent_ += bool(error);
 }
 
 void UdpMember::wake_at(TimePoint at) {
     scheduler_.cancel(std::exchange(timer_, 0));
-    if (at == TimePoint::max()) return;
+    if (closed_ || at == TimePoint::max()) return;
     timer_ = scheduler_.call_at(at, [this] {
         timer_ = 0;
         hand(Woken{});
--- a/src/membership/udp.h
+++ b/src/membership/udp.h
@@ -18,11 +18,15 @@
     using Endpoint = boost::asio::ip::udp::endpoint;
 
     /// Binds to `listen` (IPv4; port 0: any that is free) and takes its place from there. Throws where it cannot.
+    /// Where `settings.self` is given, that is its place: others reach it there, by whatever way.
     UdpMember(boost::asio::io_context& io, Scheduler& scheduler, const Endpoint& listen, Settings settings, Keys keys,
-              std::uint64_t seed);
+              std::uint64_t seed, std::uint32_t cluster = 0);
 
     void start() { hand(Woken{}); }
     void plan(const PlanInForce& plan) { hand(NewPlan{plan}); }
+    void says(bool stalled) { hand(Says{stalled}); }
+    /// From the next datagram on.
+    void use(Keys keys) { keys_ = std::move(keys); }
     /// Says goodbye; `over` is called once that is done.
     void leave(std::function<void()> over);
     void close();
@@ -32,6 +36,8 @@
     std::uint64_t refused(Fault fault) const { return refused_[std::size_t(fault)]; }
     std::uint64_t unsent() const { return unsent_; }
     std::function<void(const Changed&)> changed;
+    std::function<void(const Restarted&)> restarted;
+    std::function<void(const OfItself&)> of_itself;
 
 private:
     static Place bound(boost::asio::ip::udp::socket& socket, const Endpoint& listen);
@@ -45,6 +51,7 @@
     boost::asio::ip::udp::socket socket_;
     Place place_;
     Keys keys_;
+    std::uint32_t cluster_;
     Membership core_;
     std::array<char, kMostOctets + 1> octets_{};  // one more, so that a longer one is seen as such
     Endpoint from_;
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -2,9 +2,16 @@
 #include "membership/membership.h"
 
 #include <gtest/gtest.h>
+#include <sys/stat.h>
 
+#include <cstdlib>
+#include <fstream>
 #include <string>
 
+#include "membership/settings.h"
+#include "membership/share.h"
+#include "membership/view.h"
+
 namespace ochrehub::membership {
 namespace {
 
@@ -183,6 +190,118 @@
     EXPECT_EQ(found, 39u);
 }
 
+TEST(Isolation, OneThatHearsNobodyKnowsItAndOneThatIsNotAnsweredToo) {
+    for (bool hears : {false, true}) {
+        One one;
+        for (std::uint32_t n = 2; n <= 4; ++n) one.hear(1, Kind::Gossip, alive(n));
+        one.run_to(4900);
+        EXPECT_EQ(one.core.self().said, 0);
+        if (hears) one.hear(4900, Kind::Gossip, alive(2));
+        one.run_to(5200);
+        EXPECT_EQ(one.core.self().said, hears ? kSaysUnheard : kSaysDeaf);
+        // One answer to a question of its own ends it; what was asked by nobody does not.
+        one.hear(5300, Kind::Ack, alive(2), {}, 4'000'000);
+        EXPECT_NE(one.core.self().said, 0);
+        auto out = one.run_to(8000);
+        ASSERT_FALSE(out.empty());
+        one.hear(8001, Kind::Ack, alive(2), {}, out.back().sequence);
+        EXPECT_EQ(one.core.self().said, 0);
+    }
+}
+
+TEST(Isolation, WhatItFindsMeanwhileItTellsNobody) {
+    One one;
+    for (std::uint32_t n = 2; n <= 4; ++n) one.hear(1, Kind::Gossip, alive(n));
+    for (const Datagram& d : one.run_to(60'000))
+        for (const Update& update : d.updates) {
+            if (d.about == update.who) continue;  // a knock says to whom it is what it is about
+            EXPECT_NE(update.state, State::Dead) << "told of " << update.who.host;
+        }
+    EXPECT_EQ(one.state(2), State::Dead);
+}
+
+TEST(Isolation, NobodyIsIsolatedWhereAllOthersHaveLeft) {
+    One one;
+    one.hear(1, Kind::Gossip, said(2, State::Left, 1));
+    one.hear(1, Kind::Gossip, alive(2));
+    one.hear(2, Kind::Gossip, said(2, State::Left, 1));
+    one.run_to(30'000);
+    EXPECT_EQ(one.core.self().said, 0);
+}
+
+TEST(Member, AStalledLoopIsSaidUnderANewIncarnation) {
+    One one;
+    one.hand(1, Says{true});
+    EXPECT_EQ(one.core.self().said, kSaysStalled);
+    EXPECT_EQ(one.core.incarnation(), 1u);
+    one.hand(2, Says{true});
+    EXPECT_EQ(one.core.incarnation(), 1u);
+}
+
+TEST(Instances, AnotherProcessAtAPlaceIsARestartAndOneThatGoesBackAndForthIsTwo) {
+    One one;
+    auto hear = [&](double ms, std::uint32_t instance) {
+        Datagram d;
+        d.from = alive(2);
+        d.instance = instance;
+        one.hand(ms, Received{d});
+    };
+    hear(1, 10);
+    hear(2, 11);
+    const auto* member = one.core.find(place(2));
+    EXPECT_EQ(member->restarts, 1u);
+    EXPECT_EQ(member->doubled, TimePoint{});
+    hear(3, 10);
+    EXPECT_EQ(member->restarts, 1u);
+    EXPECT_EQ(member->doubled, at(3));
+    EXPECT_TRUE(view_of(one.core, at(4)).members.at(0).doubled);
+}
+
+TEST(Share, FallsAtOnceAndRisesSlowlyAndNeverOverItsBound) {
+    Share share({8, 4, Duration{5000}, Duration{1000}});
+    EXPECT_EQ(share.count(), 8);
+    EXPECT_EQ(share.see(at(0), 9), 9);  // one more: its part is smaller at once
+    EXPECT_EQ(share.see(at(100), 4), 9);
+    EXPECT_EQ(share.see(at(5000), 4), 9);
+    double ms = 5100;
+    for (int before = 9; share.count() > 4; ms += 1000) {
+        int now = share.see(at(ms), 4);
+        EXPECT_LT(now, before);
+        EXPECT_GE(now, before - 2);
+        before = now;
+        ASSERT_LT(ms, 15'000);
+    }
+    // Whatever is seen: over the eight that there are, parts add up to two at most.
+    for (; ms < 60'000; ms += 100) EXPECT_GE(share.see(at(ms), 1), 4);
+    EXPECT_EQ(share.see(at(ms), 1'000'000), 32);
+}
+
+TEST(Share, FewerForAMomentChangesNothing) {
+    Share share({8, 4, Duration{5000}, Duration{1000}});
+    for (double ms = 0; ms < 60'000; ms += 2000) {
+        EXPECT_EQ(share.see(at(ms), 5), 8);
+        EXPECT_EQ(share.see(at(ms + 1000), 8), 8);
+    }
+}
+
+TEST(KeyFile, EachFaultIsNamedWithItsLine) {
+    char path[] = "/tmp/keys.XXXXXX";
+    close(mkstemp(path));
+    auto fault = [&](const std::string& text, mode_t mode = 0600) {
+        std::ofstream(path, std::ios::binary) << text;
+        chmod(path, mode);
+        return read_keys(path).fault;
+    };
+    EXPECT_EQ(fault(""), "holds no key");
+    EXPECT_EQ(fault("0123456789abcdef\nshort\n"), "line 2: a key has 16 to 128 characters");
+    EXPECT_EQ(fault("\n0123456789abcd\x01" "ef\n"), "line 2: holds a byte that is no printable character");
+    EXPECT_EQ(fault("0123456789abcdef\n", 0640), "can be read by others than its owner: chmod 600");
+    EXPECT_EQ(fault("0123456789abcdef\nfedcba9876543210\n"), "");
+    EXPECT_EQ(read_keys(path).keys.size(), 2u);
+    unlink(path);
+    EXPECT_EQ(read_keys(path).fault, "cannot be read: No such file or directory");
+}
+
 Datagram full() {
     Datagram d;
     d.kind = Kind::Ack;
@@ -190,6 +309,10 @@
     d.from = alive(1, 3);
     d.from.role = Role::Planner;
     d.plan = {4, 5};
+    d.from.said = kSaysDeaf | kSaysStalled;
+    d.instance = 0x89abcdef;
+    d.name.assign(kNameMost, 'n');
+    d.zone.assign(kZoneMost, 'z');
     d.about = place(7);
     for (std::uint32_t n = 0; n < kMostUpdates; ++n) d.updates.push_back(said(n + 2, State(n % 4), n, 500));
     return d;
@@ -206,6 +329,8 @@
         EXPECT_EQ(back.from, d.from);
         EXPECT_EQ(back.plan, d.plan);
         EXPECT_EQ(back.about, d.about);
+        EXPECT_EQ(back.instance, d.instance);
+        EXPECT_TRUE(back.name == d.name && back.zone == d.zone);
         EXPECT_TRUE(back.updates == d.updates);
         EXPECT_EQ(encode(back, keys), octets);
     }
@@ -241,6 +366,17 @@
     }
 }
 
+TEST(Octets, AnotherClustersAndUnprintableNamesAreRefused) {
+    Datagram back;
+    std::uint32_t ours = fingerprint("shop"), theirs = fingerprint("shop2");
+    EXPECT_NE(ours, theirs);
+    EXPECT_EQ(decode(encode(full(), {}, theirs), {}, back, ours), Fault::Cluster);
+    EXPECT_EQ(decode(encode(full(), {}, ours), {}, back, ours), Fault::None);
+    Datagram odd = full();
+    odd.name[3] = '\x1b';
+    EXPECT_EQ(decode(encode(odd, {}), {}, back), Fault::Malformed);
+}
+
 TEST(Octets, KeysAreRolledOneInstanceAfterTheOther) {
     Keys old_one({"old"}), both_old_first({"old", "new"}), both_new_first({"new", "old"}), new_one({"new"});
     Datagram back;
