Let a pause of 3 s kill nobody: suspects have more time, and are asked twice before they are dead

Its least time is six intervals now, not three, times the decimal logarithm of the members; a lone accuser's three times that, so that both ends stay near (10.8 s at sixteen).

--- a/lab/swarm/swarm.cpp
+++ b/lab/swarm/swarm.cpp
@@ -19,6 +19,7 @@
 Swarm::Swarm(const Settings& settings) : set_(settings), nodes_(settings.members) {
     random_.seed(std::uint32_t(settings.seed * 0x9E3779B97F4A7C15ull >> 32) | 16);
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
+        nodes_[i].cut_to.resize(nodes_.size());
         start(i);
         queue_.push({now_ + uniform() * set_.start_within, ++order_, std::uint32_t(i), kWake, nodes_[i].wake});
     }
@@ -148,6 +149,7 @@
             throw std::logic_error("a datagram that was sent cannot be read");
     }
     bool cut = to && !groups_.empty() && groups_[from] != groups_[*to];
+    cut = cut || (to && nodes_[from].cut_to[*to]);
     double arrives = to ? (1 - set_.loss) * (1 - nodes_[from].loss) * (1 - nodes_[*to].loss) : 0;
     if (!to || cut || draw >= arrives) {
         free_.push_back(slot);
--- a/lab/swarm/swarm.h
+++ b/lab/swarm/swarm.h
@@ -42,6 +42,8 @@
     void leave(std::size_t member);
     /// Members of different groups do not hear each other; an empty list heals all.
     void cut(std::vector<int> groups) { groups_ = std::move(groups); }
+    /// What `from` sends to `to` is lost; the other way is as it was.
+    void cut_way(std::size_t from, std::size_t to, bool cut) { nodes_[from].cut_to[to] = cut; }
     void loss(double part) { set_.loss = part; }
     /// The datagrams of one alone are lost by this part, whichever way they go.
     void loss_of(std::size_t member, double part) { nodes_[member].loss = part; }
@@ -73,6 +75,7 @@
         double loss = 0;
         bool stopped = false, woken = false;
         std::vector<std::uint32_t> waiting;
+        std::vector<bool> cut_to;
     };
     struct Happening {
         TimePoint at;
--- a/lab/tests/swarm_test.cpp
+++ b/lab/tests/swarm_test.cpp
@@ -72,6 +72,68 @@
     EXPECT_TRUE(swarm.run_until(240 * kSecond, [&] { return swarm.settled() && swarm.core(5).doubt() == 0; }));
 }
 
+// What the operators ask for: pauses, lost messages and one-sided cuts at once, and nobody who lives is dead to anybody.
+TEST(Swarm, LossPausesAndAOneSidedCutAtOnceKillNobody) {
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        Swarm swarm(of(16, 0.1, seed));
+        ASSERT_TRUE(swarm.run_until(20 * kSecond, [&] { return swarm.all_known(); }));
+        // Also nobody who is paused: that is no death.
+        std::uint64_t dead = 0;
+        swarm.heard = [&](std::size_t, const membership::Changed& changed) { dead += changed.now.state == State::Dead; };
+        swarm.cut_way(seed % 16, (seed + 5) % 16, true);
+        for (std::size_t round = 0; round < 10; ++round) {
+            std::size_t paused = (7 * round + seed) % 16;
+            swarm.stop(paused);
+            swarm.run_to(swarm.now() + 3 * kSecond);
+            swarm.go_on(paused);
+            swarm.run_to(swarm.now() + 3 * kSecond);
+        }
+        EXPECT_EQ(dead, 0u) << "seed " << seed;
+    }
+}
+
+// It is heard and hears nobody, or the other way round: it says so itself, and others lose it alone.
+TEST(Swarm, OneThatIsCutOffOneWayKnowsItAndSpoilsNobodysView) {
+    for (bool deaf : {true, false})
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            Swarm swarm(of(16, 0.02, seed));
+            ASSERT_TRUE(swarm.run_until(20 * kSecond, [&] { return swarm.all_known(); }));
+            std::uint64_t of_others = 0;
+            swarm.heard = [&](std::size_t by, const membership::Changed& changed) {
+                if (by != 3 && changed.now.state == State::Dead && changed.now.who != swarm.place(3)) ++of_others;
+            };
+            auto cut = [&](bool on) {
+                for (std::size_t i = 0; i < 16; ++i) deaf ? swarm.cut_way(i, 3, on) : swarm.cut_way(3, i, on);
+            };
+            Duration from = swarm.now();
+            cut(true);
+            std::uint8_t word = deaf ? membership::kSaysDeaf : membership::kSaysUnheard;
+            EXPECT_TRUE(swarm.run_until(from + 10 * kSecond, [&] { return swarm.core(3).self().said == word; })) << seed;
+            EXPECT_TRUE(swarm.run_until(from + 20 * kSecond, [&] { return swarm.all_believe(3, is(State::Dead)); })) << seed;
+            swarm.run_to(from + 60 * kSecond);
+            EXPECT_EQ(of_others, 0u) << seed;
+            Duration healed = swarm.now();
+            cut(false);
+            EXPECT_TRUE(swarm.run_until(healed + 15 * kSecond, [&] { return swarm.all_known(); })) << seed;
+            EXPECT_EQ(swarm.core(3).self().said, 0) << seed;
+            EXPECT_EQ(of_others, 0u) << seed;
+        }
+}
+
+TEST(Swarm, ACutInHalvesForAMinuteHealsWithinFifteenSeconds) {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        Swarm swarm(of(16, 0, seed));
+        swarm.run_to(10 * kSecond);
+        std::vector<int> sides(16);
+        for (std::size_t i = 8; i < 16; ++i) sides[i] = 1;
+        swarm.cut(sides);
+        swarm.run_to(70 * kSecond);
+        ASSERT_EQ(swarm.belief(0, 15), State::Dead);
+        swarm.cut({});
+        EXPECT_TRUE(swarm.run_until(85 * kSecond, [&] { return swarm.settled(); })) << "seed " << seed;
+    }
+}
+
 TEST(Swarm, AStoppedProcessWakesAndIsTakenBackWithoutBlamingOthers) {
     Swarm swarm(of(20));
     swarm.run_to(10 * kSecond);
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t kAskOf = 3;      // ... so many an interval
 constexpr std::uint32_t kOwnRecent = 256;  // of its own sequence numbers, so many last ones may be answered
 constexpr Duration kDoubledWithin{60'000};
+constexpr int kLastCalls = 2;          // one datagram or its answer is lost now and then
 constexpr int kGoodbyes = 4;
 constexpr std::size_t kGoodbyeTo = 4;
 // Incarnations rise by one with each refutation. One that is beyond this was made up, and refuting it would end in the
@@ -412,7 +413,7 @@
     suspects_.push_back(slot);
     member.began = now_;
     member.accused = 0;
-    member.last_call = false;
+    member.last_calls = 0;
     confirm(member, update.accuser);
 }
 
@@ -429,7 +430,7 @@
     }
     int most = std::clamp(int(here_) - 1, 1, kConfirmations + 1);  // the first included
     auto end = member.accusers + member.accused;
-    if (std::find(member.accusers, end, accuser) != end || member.accused >= most || member.last_call) return;
+    if (std::find(member.accusers, end, accuser) != end || member.accused >= most || member.last_calls > 0) return;
     member.accusers[member.accused++] = accuser;
     Duration least = suspicion_least(), span = least * (set_.suspicion_most - 1);
     double part = most > 1 ? std::log(double(member.accused)) / std::log(double(most)) : 1;
@@ -448,7 +449,8 @@
         Update update = members_[slot].update;
         // Gossip misses somebody now and then, also with what was refuted long ago: it is asked once more before all
         // hear that it is dead.
-        if (set_.last_call && !std::exchange(members_[slot].last_call, true)) {
+        if (set_.last_call && members_[slot].last_calls < kLastCalls) {
+            ++members_[slot].last_calls;
             members_[slot].until = now_ + 2 * set_.timeout;
             send(update.who, make(Kind::Ping, ++sequence_, update.who), &update);
             continue;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -32,8 +32,8 @@
     Duration interval{500};    ///< between pings
     Duration timeout{150};     ///< for an answer, before others are asked to try; under half of `interval`
     int helpers = 3;           ///< ... how many of them
-    double suspicion = 3;      ///< intervals that a suspect has at least, times the decimal logarithm of the members
-    double suspicion_most = 6; ///< ... and so many times that while nobody else suspects it
+    double suspicion = 6;      ///< intervals that a suspect has at least, times the decimal logarithm of the members
+    double suspicion_most = 3; ///< ... and so many times that while nobody else suspects it
     Duration forget{600'000};  ///< after which one that is dead or has left is forgotten
     std::size_t most = 4096;   ///< members that are kept, those that are gone included; others are not taken in
     Duration isolated_after{5000};  ///< without an answer from anybody
@@ -127,7 +127,7 @@
 
     struct Slot : Member {
         bool news = false, urgent = false;
-        bool last_call = false;  ///< Suspect: it was asked once more
+        int last_calls = 0;      ///< Suspect: how often it was asked once more
         bool alone = false;      ///< Dead: found by this one alone, while it was isolated; told to nobody
         int told = 0;          ///< how often its news went out
         TimePoint until{};     ///< Suspect: when it is dead
