Tell deaf from unheard again while a member is isolated

Five processes waited for ever for one of them to say that it is deaf: what it had heard last came a while behind the last answer, so at 5 s it took itself for unheard, and that word was never looked at again. It is now at each wake-up. A test of the core with one late datagram fails without it.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -312,7 +312,10 @@
 
 // Found alone: others cannot tell it whom it does not hear, nor one that they do not hear. Told to all once it can be.
 void Membership::look_at_itself() {
-    if (now_ - answered_at_ < kAskAt * set_.isolated_after || isolated()) return;
+    std::uint8_t word = now_ - heard_at_ >= kAskAt * set_.isolated_after ? kSaysDeaf : kSaysUnheard;
+    // What it heard last may have come long behind the last answer: which of the two it is shows later.
+    if (isolated()) return say(std::uint8_t((self_.said & kSaysStalled) | word));
+    if (now_ - answered_at_ < kAskAt * set_.isolated_after) return;
     if (!anybody()) {
         answered_at_ = now_;
         return;
@@ -320,7 +323,7 @@
     if (now_ - answered_at_ >= set_.isolated_after) {
         ++counts_.isolated;
         next_ask_ = TimePoint::max();
-        say((self_.said & kSaysStalled) | (now_ - heard_at_ >= kAskAt * set_.isolated_after ? kSaysDeaf : kSaysUnheard));
+        say(std::uint8_t((self_.said & kSaysStalled) | word));
         next_knock_ = std::min(next_knock_, now_ + 2 * set_.interval);
     } else if (next_ask_ == TimePoint::max() || now_ >= next_ask_) {
         next_ask_ = now_ + set_.interval;
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -209,6 +209,17 @@
     }
 }
 
+TEST(Isolation, OneThatHeardSomethingLateIsDeafOnceThatIsLongAgoToo) {
+    One one;
+    for (std::uint32_t n = 2; n <= 4; ++n) one.hear(1, Kind::Gossip, alive(n));
+    one.run_to(4000);
+    one.hear(4000, Kind::Gossip, alive(2));
+    one.run_to(5100);
+    EXPECT_EQ(one.core.self().said, kSaysUnheard);
+    one.run_to(13'000);
+    EXPECT_EQ(one.core.self().said, kSaysDeaf);
+}
+
 TEST(Isolation, WhatItFindsMeanwhileItTellsNobody) {
     One one;
     for (std::uint32_t n = 2; n <= 4; ++n) one.hear(1, Kind::Gossip, alive(n));
