--- a/include/ochrehub/rules.h
+++ b/include/ochrehub/rules.h
@@ -155,7 +155,7 @@
 /// By how many gateways the tier's limits, budgets and quotas are divided from now on, and which of them this one is
 /// (kNone: it is not known). Without it the settings' numbers count.
 struct Sharers {
-    int gateways = 1;
+    int gateways = 1;  ///< 1 at least
     int me = kNone;
 };
 using Event = std::variant<ListUpdate, RequestArrived, AttemptEnded, StreamStarted, ProbeEnded, ClientGone, Woken,
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -38,7 +38,7 @@
     void by_hand(std::uint64_t key, bool out, TimePoint since);
     /// Another process of this node lives, or no longer does.
     void twinned(bool twin) { post(Twinned{twin}); }
-    void sharers(int gateways, int me) { post(Sharers{gateways, me}); }
+    void sharers(int gateways, int me) { post(Sharers{gateways < 1 ? 1 : gateways, me}); }
     /// Where the module's count of avoided servers goes; may be null.
     void count_in(Counters* counters) { counters_ = counters; }
     void attempt_ended(AttemptId id, AttemptResult result) override;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -231,7 +231,7 @@
     }
 
     void on(const Twinned& e) { part_ = e.twin ? 0.5 : 1; }
-    void on(const Sharers& e) { set_.balancers = std::max(1, e.gateways), set_.me = e.me, subset_stale_ = true; }
+    void on(const Sharers& e) { set_.balancers = e.gateways, set_.me = e.me, subset_stale_ = true; }
 
     // Guards against gateways that call together: a call that waits too long is work lost for all of them.
     Duration fleet_calls() const { return std::min(kListEach * set_.balancers, kListMost); }
