Drop a field of the fleet's run that nobody uses

Clang, which builds the sanitizer flavour, refuses a private field without a use; the run did not compile there.

--- a/tests/fleet_run.cpp
+++ b/tests/fleet_run.cpp
@@ -108,7 +108,7 @@
 
 class Fleet {
 public:
-    Fleet(std::string program, const Relays& relays) : program_(std::move(program)), relays_(relays) {
+    Fleet(std::string program, const Relays& relays) : program_(std::move(program)) {
         char made[] = "/tmp/fleet.XXXXXX";
         folder_ = mkdtemp(made);
         std::ofstream(folder_ + "/keys") << "the-key-of-this-run-of-five\n";
@@ -199,7 +199,6 @@
     std::string file(int i) const { return folder_ + "/n" + std::to_string(i) + ".toml"; }
 
     std::string program_, folder_;
-    const Relays& relays_;
     sockaddr_in control_[kNodes]{};
     pid_t pid_[kNodes]{};
 };
