Count the time that a member stood still once, not with each datagram that waited

Behind a pause each datagram that had waited in the socket came before the overdue wake-up, and each added the whole pause again to the times of suspects and to the time until a member finds itself isolated: fifty of them behind 3 s made 150 s.

A wake-up that is overdue is now asked for now at the earliest, so that what was counted is not counted again.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -66,8 +66,9 @@
     }
     std::visit([this](const auto& e) { on(e); }, event);
     if (over_) return;
-    TimePoint next = next_wake();
-    if (woken_for_ == next) return;
+    // Never before now: what has been counted as lost time once is not to be counted with each datagram that waited too.
+    TimePoint next = std::max(next_wake(), now_);
+    if (woken_for_ == next || (woken_for_ && *woken_for_ <= now_ && next == now_)) return;
     woken_for_ = next;
     actions.push_back(WakeAt{next});
 }
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -220,6 +220,26 @@
     EXPECT_EQ(one.core.self().said, kSaysDeaf);
 }
 
+// A process that stood still finds its socket full. The time that it lost is lost once, not once a datagram.
+TEST(Isolation, APauseBehindWhichManyDatagramsWaitDefersItByThePauseAlone) {
+    One one;
+    one.hear(10, Kind::Gossip, alive(2));
+    one.run_to(2000);
+    for (int i = 0; i < 50; ++i) one.hear(5000 + 0.1 * i, Kind::Gossip, alive(2));
+    one.run_to(5000 + 5000 + 3000 + 2 * 500);
+    EXPECT_NE(one.core.self().said & kSaysIsolated, 0);
+}
+
+TEST(Member, APauseBehindWhichManyDatagramsWaitGivesASuspectNoMoreThanThePause) {
+    One one;
+    one.hear(10, Kind::Gossip, alive(2), {said(3, State::Suspect)});
+    ASSERT_EQ(one.state(3), State::Suspect);
+    one.run_to(1000);
+    for (int i = 0; i < 50; ++i) one.hear(4000 + 0.1 * i, Kind::Gossip, alive(2));
+    one.run_to(4000 + 3 * 3000 + 3000 + 1000);
+    EXPECT_EQ(one.state(3), State::Dead);
+}
+
 TEST(Isolation, WhatItFindsMeanwhileItTellsNobody) {
     One one;
     for (std::uint32_t n = 2; n <= 4; ++n) one.hear(1, Kind::Gossip, alive(n));
