Let a deaf member's word on itself refute no suspicion

It has not heard that it is suspected. While it calls itself deaf a suspect stays one; its incarnation and its word are taken. One test of the core, which fails without the change.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -372,6 +372,15 @@
         return;
     }
     if (!outranks(update, member.update)) return;
+    // One that hears nobody has not heard that it is suspected: its word on itself refutes nothing.
+    if (member.update.state == State::Suspect && update.state == State::Alive && (update.said & kSaysDeaf) != 0) {
+        bool says_else = member.update.said != update.said;
+        member.update.incarnation = update.incarnation;
+        member.update.said = update.said;
+        tell_of(slot, false);
+        if (says_else) actions_->push_back(Changed{member.update, State::Suspect});
+        return;
+    }
     if (update.state == State::Suspect)
         suspect(slot, update);
     else
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -220,6 +220,18 @@
     EXPECT_EQ(one.core.self().said, kSaysDeaf);
 }
 
+TEST(Isolation, ADeafOnesWordOnItselfRefutesNoSuspicion) {
+    One one;
+    one.hear(10, Kind::Gossip, alive(2), {said(3, State::Suspect)});
+    Update deaf = alive(3, 1);
+    deaf.said = kSaysDeaf;
+    one.hear(20, Kind::Gossip, deaf);
+    EXPECT_EQ(one.state(3), State::Suspect);
+    EXPECT_EQ(one.core.find(place(3))->update.incarnation, 1u);
+    one.hear(30, Kind::Gossip, alive(3, 2));  // it hears again
+    EXPECT_EQ(one.state(3), State::Alive);
+}
+
 // A process that stood still finds its socket full. The time that it lost is lost once, not once a datagram.
 TEST(Isolation, APauseBehindWhichManyDatagramsWaitDefersItByThePauseAlone) {
     One one;
