Add the rig: fleets of real processes with faults between them, judged from outside

Nothing started several processes of the program and put faults between them but one run written by hand, without a judge.

Faults: cut, loss, late, doubled, reorder, replay, pause, slow, kill with restart, leave, clocks (virtual), and of connections to servers stall, reset and crawl. Processes end with the rig.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -3,7 +3,9 @@
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <charconv>
+#include <csignal>
 #include <cstdio>
 #include <exception>
 #include <filesystem>
@@ -18,6 +20,11 @@
 #include <vector>
 
 #include "base/log.h"
+#include "lab/fleet/outcome.h"
+#include "lab/fleet/processes.h"
+#include "lab/fleet/scenario.h"
+#include "lab/fleet/shrink.h"
+#include "lab/fleet/virtual.h"
 #include "lab/play/load.h"
 #include "lab/play/play.h"
 #include "lab/play/serve.h"
@@ -217,6 +224,14 @@
 }
 
 int run_report(const std::vector<std::string>& files, const std::string& folder) {
+    if (fleet::is_outcomes(files.front())) {
+        std::vector<fleet::Outcome> all;
+        for (const std::string& file : files)
+            for (fleet::Outcome& one : fleet::read_outcomes(file)) all.push_back(std::move(one));
+        fleet::write_page(all, folder);
+        std::printf("%s\n", (std::filesystem::path(folder) / "index.html").c_str());
+        return kDone;
+    }
     std::vector<std::vector<Result>> runs;
     std::vector<std::string> names;
     for (const std::string& file : files) {
@@ -324,7 +339,64 @@
     return std::any_of(outcomes.begin(), outcomes.end(), broken) ? kBroken : kDone;
 }
 
-int run_explore(int depth) {
+std::atomic<bool> interrupted{false};
+
+struct FleetOptions {
+    std::string world = "processes", program, logs;
+    bool shrink = false;
+};
+
+int run_fleet(const Common& common, const FleetOptions& options, int jobs) {
+    Seeds seeds = seeds_of(common);
+    fleet::Scenario scenario = fleet::Scenario::read(common.scenario);
+    std::vector<fleet::Outcome> outcomes(std::size_t(seeds.last - seeds.first + 1));
+    auto run = [&](std::size_t i, auto&& world) {
+        fleet::Outcome& one = outcomes[i];
+        one.day = scenario.draw(seeds.first + i);
+        one.world = options.world;
+        one.events = world(one.day);
+        one.verdict = fleet::judge(one.day, one.events);
+    };
+    if (options.world == "virtual") {
+        in_parallel(outcomes.size(), jobs, [&](std::size_t i) { run(i, [](const fleet::Day& day) { return fleet::run_virtual(day); }); });
+    } else {
+        // Processes end with this one however it ends; asked to, it takes their folders along.
+        for (int number : {SIGINT, SIGTERM, SIGHUP}) std::signal(number, [](int) { interrupted = true; });
+        fleet::ProcessOptions how;
+        how.program = options.program;
+        how.stop = &interrupted;
+        if (!common.quiet) how.progress = [](const std::string& line) { std::fprintf(stderr, "%s\n", line.c_str()); };
+        for (std::size_t i = 0; i < outcomes.size(); ++i) {
+            if (!options.logs.empty()) how.logs = std::filesystem::path(options.logs) / std::to_string(seeds.first + i);
+            run(i, [&](const fleet::Day& day) { return fleet::run_processes(day, how); });
+            if (!common.quiet) std::fprintf(stderr, "seed %llu: %zu promises broken\n", static_cast<unsigned long long>(outcomes[i].day.seed), outcomes[i].verdict.broken.size());
+        }
+    }
+    if (!common.json.empty()) write_file(common.json, fleet::to_json(outcomes));
+    std::printf("%s", fleet::summary(outcomes).c_str());
+    auto broken = std::find_if(outcomes.begin(), outcomes.end(), [](const fleet::Outcome& one) { return !one.verdict.broken.empty(); });
+    if (broken == outcomes.end()) return kDone;
+    if (options.shrink) {
+        // Another promise that a smaller day breaks is another story.
+        std::string promise = broken->verdict.broken.front().promise;
+        promise = promise.substr(0, std::min({promise.find(" ("), promise.find(" within"), promise.find(':'), promise.size()}));
+        auto breaks = [&](const fleet::Day& day) {
+            for (const fleet::Broken& one : fleet::judge(day, fleet::run_virtual(day)).broken)
+                if (one.promise.starts_with(promise)) return true;
+            return false;
+        };
+        if (!breaks(broken->day)) {
+            std::printf("seed %llu breaks nothing in virtual time: nothing to shrink\n", static_cast<unsigned long long>(broken->day.seed));
+        } else {
+            fleet::Shrunk smallest = fleet::shrink(broken->day, breaks);
+            std::printf("seed %llu, shrunk from %zu faults in %d runs:\n", static_cast<unsigned long long>(broken->day.seed), broken->day.faults.size(), smallest.runs);
+            for (const fleet::Fault& fault : smallest.day.faults) std::printf("    %s\n", fault.text().c_str());
+        }
+    }
+    return kBroken;
+}
+
+int run_explore(int depth, int cuts, int pauses) {
     using From = Exploration::From;
     const std::array<std::pair<From, const char*>, 5> begins{{{From::Start, "all start"},
                                                               {From::Settled, "all know all"},
@@ -336,6 +408,8 @@
         Exploration all;
         all.from = from;
         all.depth = depth;
+        all.cuts = cuts;
+        all.pauses = pauses;
         Explored found = explore(all);
         std::printf("%-26s %llu states, %llu ends, right again after %.1f s at most, %llu promises broken\n", name,
                     static_cast<unsigned long long>(found.states), static_cast<unsigned long long>(found.ends),
@@ -444,9 +518,28 @@
     members_command->add_option("--for", calm_seconds, "seconds of calm, before one of them dies")->check(CLI::Range(1.0, 1e6))->capture_default_str();
     members_command->add_option("--seeds", common.seeds, "FIRST..LAST: a tier for each");
     members_command->add_option("--jobs", jobs, "tiers at a time")->check(CLI::Range(1, 256))->capture_default_str();
-    int depth = 6;
+    bool plain = false;
+    members_command->add_option("--pauses", trial.pauses, "of each member an hour, up to 3 s each, in that time")->check(CLI::Range(0.0, 1e4));
+    members_command->add_option("--one-sided", trial.one_sided, "so many of a hundred are not heard by one other, in that time")->check(CLI::Range(0, 100));
+    members_command->add_flag("--plain", plain, "without Lifeguard's parts and the last call");
+    FleetOptions fleet_options;
+    CLI::App* fleet_command = app.add_subcommand("fleet", "processes of the program with faults between them, judged from outside");
+    fleet_command->add_option("scenario", common.scenario, "a shipped scenario's name, or a TOML file")->required();
+    auto* fleet_seed = fleet_command->add_option("--seed", common.seed, "what is drawn is drawn from it")->capture_default_str();
+    fleet_command->add_option("--seeds", common.seeds, "FIRST..LAST: a run for each")->excludes(fleet_seed);
+    fleet_command->add_option("--world", fleet_options.world, "processes, or virtual: the same cores in virtual time")
+        ->check(CLI::IsMember({"processes", "virtual"}))->capture_default_str();
+    fleet_command->add_option("--json", common.json, "write the results there, for report");
+    fleet_command->add_option("--logs", fleet_options.logs, "keep folders and logs there, a folder for each seed");
+    fleet_command->add_option("--node", fleet_options.program, "the program; default: ochrehub beside this one")->check(CLI::ExistingFile);
+    fleet_command->add_option("--jobs", jobs, "runs at a time, in virtual time")->check(CLI::Range(1, 256))->capture_default_str();
+    fleet_command->add_flag("--shrink", fleet_options.shrink, "the first broken seed's faults, cut down in virtual time");
+    fleet_command->add_flag("--quiet", common.quiet, "only the result");
+    int depth = 6, cuts = 0, pauses = 0;
     CLI::App* explore_command = app.add_subcommand("explore", "all that can happen to three members, from five beginnings, to a depth");
     explore_command->add_option("--depth", depth, "things that happen, one after the other")->check(CLI::Range(1, 14))->capture_default_str();
+    explore_command->add_option("--cuts", cuts, "of one way between two, among them")->check(CLI::Range(0, 14))->capture_default_str();
+    explore_command->add_option("--pauses", pauses, "of one member, among them")->check(CLI::Range(0, 14))->capture_default_str();
     CLI::App* scenarios_command = app.add_subcommand("scenarios", "those that ship, a line each");
 
     try {
@@ -472,8 +565,10 @@
         if (*figure_command) return run_figure(a, files);
         if (*recovery_command) return run_recovery(files, head);
         if (*scenarios_command) return run_scenarios();
-        if (*explore_command) return run_explore(depth);
+        if (*explore_command) return run_explore(depth, cuts, pauses);
+        if (*fleet_command) return run_fleet(common, fleet_options, jobs);
         trial.calm = ochrehub::Duration{1000 * calm_seconds};
+        trial.swarm.each.lifeguard = trial.swarm.each.last_call = !plain;
         if (*members_command) return run_members(common, trial, jobs);
         return kUsage;
     } catch (const std::exception& error) {
--- a/lab/play/node_process.cpp
+++ b/lab/play/node_process.cpp
@@ -67,6 +67,7 @@
         if (!given && name.compare(0, 3, "GW_") != 0) kept.push_back(std::move(text));
     }
     std::vector<char*> environment, arguments{command_.program.data(), nullptr};
+    for (std::string& one : command_.arguments) arguments.insert(arguments.end() - 1, one.data());
     for (std::string& one : kept) environment.push_back(one.data());
     environment.push_back(nullptr);
     int log = open(command_.log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
