Compare the times of isolation as they are added up, so that no wake-up asks for its own moment

A run in virtual time stood still for ever: where the sum of the last answer's time and the time to isolation rounds up, the core was woken at that moment, found by the difference that it was not reached yet, and asked for the same moment again. On a machine that is a spin until the clock moves on; in virtual time it does not.

Both sides now compare the same sum.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -316,12 +316,13 @@
     std::uint8_t word = now_ - heard_at_ >= kAskAt * set_.isolated_after ? kSaysDeaf : kSaysUnheard;
     // What it heard last may have come long behind the last answer: which of the two it is shows later.
     if (isolated()) return say(std::uint8_t((self_.said & kSaysStalled) | word));
-    if (now_ - answered_at_ < kAskAt * set_.isolated_after) return;
+    // In the very terms of next_wake: a difference that rounds the other way would have it woken for now without end.
+    if (now_ < answered_at_ + kAskAt * set_.isolated_after) return;
     if (!anybody()) {
         answered_at_ = now_;
         return;
     }
-    if (now_ - answered_at_ >= set_.isolated_after) {
+    if (now_ >= answered_at_ + set_.isolated_after) {
         ++counts_.isolated;
         next_ask_ = TimePoint::max();
         say(std::uint8_t((self_.said & kSaysStalled) | word));
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -232,6 +232,21 @@
     EXPECT_EQ(one.state(3), State::Alive);
 }
 
+// Sums and differences of times round differently; a core that asks for the moment that it is woken at stands for ever.
+TEST(Isolation, IsFoundWithoutAskingForOneMomentAgainAndAgain) {
+    for (int i = 0; i < 500; ++i) {
+        One one;
+        one.hear(10, Kind::Gossip, alive(2));
+        double last = 11'400 + 9.9137 * i;  // across 2^14 with what it waits for: there a sum loses a bit
+        one.run_to(last);
+        one.hear(last, Kind::Ack, alive(2), {}, 1);
+        int wakes = 0;
+        while (one.due <= at(last + 6000) && ++wakes < 1000) one.wake(std::max(one.now, one.due.time_since_epoch().count()));
+        ASSERT_LT(wakes, 1000) << last;
+        ASSERT_NE(one.core.self().said & kSaysIsolated, 0) << last;
+    }
+}
+
 // A process that stood still finds its socket full. The time that it lost is lost once, not once a datagram.
 TEST(Isolation, APauseBehindWhichManyDatagramsWaitDefersItByThePauseAlone) {
     One one;
