--- a/lab/sim/sim_node.h
+++ b/lab/sim/sim_node.h
@@ -77,6 +77,7 @@
 
     virtual void client_opened(ClientConnection connection) = 0;
     virtual void client_asked(const Ask& ask) = 0;
+    virtual void sharers(int, int) {}  ///< by how many nodes it divides, and which it is: [fleet]
     virtual void client_noise(ClientConnection connection) = 0;  ///< bytes that cannot be read
     virtual void client_closed(ClientConnection connection) = 0;
 
--- a/lab/sim/world.cpp
+++ b/lab/sim/world.cpp
@@ -157,6 +157,16 @@
         hosts_[i].server = std::make_unique<Server>(figures, day.classes, day.limits, memory_of(figures),
                                                     mix(mix(day.seed, 0x737276), i));
     }
+    begin_ = scheduler_.now();
+    if (options_.fleet) {
+        auto cut = [this](std::size_t from, std::size_t to) {
+            return network_.any_cut() && network_.cut_off(nodes_[from]->place(), nodes_[to]->place());
+        };
+        auto told = [this](std::size_t node, int gateways, int me) {
+            nodes_[node]->enter([host = nodes_[node].get(), gateways, me] { host->node()->sharers(gateways, me); });
+        };
+        tier_ = std::make_unique<Tier>(day.nodes.size(), mix(day.seed, 0x74696572), cut, told);
+    }
     discovery_ = std::make_unique<Discovery>(day, kStart, mix(day.seed, 0x646973));
     clients_ = std::make_unique<Clients>(day, kStart, mix(day.seed, 0x636c69));
     for (std::size_t i = 0; i < day.nodes.size(); ++i)
@@ -181,6 +191,7 @@
         }
     }
     for (std::size_t i = 0; i < nodes_.size(); ++i) start_node(NodeNo(i));
+    if (tier_) look_at_tier();
     for (std::size_t i = 0; i < day_.faults.size(); ++i) {
         const Fault& it = day_.faults[i];
         scheduler_.call_at(kStart + it.at, [this, i] { fault(int(i), true); });
@@ -649,6 +660,7 @@
         note(Told{now, number, member.server, member.phase, member.started, std::exchange(first, false)});
     host.stopping = host.ready = false;
     host.start(options_.meddler ? options_.meddler(number) : nullptr);
+    if (tier_) tier_->start(since_begin(), std::size_t(number));
     scheduler_.call_at(now + kNodeStart, [this, number, life = host.life()] {
         NodeHost& started = *nodes_[std::size_t(number)];
         if (started.life() != life) return;
@@ -669,6 +681,7 @@
         if (link.node == number && link.node_life == life) open.push_back(connection);
     std::sort(open.begin(), open.end());
     host.end();
+    if (tier_) tier_->kill(since_begin(), std::size_t(number));
     std::vector<ListCall> calls;
     for (const auto& [call, wait] : list_calls_)
         if (wait.node == number) calls.push_back(call);
@@ -678,6 +691,11 @@
     tell_clients(NodeDown{number, false});
 }
 
+void World::look_at_tier() {
+    tier_->look(since_begin());
+    scheduler_.call_at(scheduler_.now() + Tier::kLook, [this] { look_at_tier(); });
+}
+
 void World::stop_node(NodeNo number) {
     NodeHost& host = *nodes_[std::size_t(number)];
     if (!host.running() || host.stopping) return;
@@ -685,6 +703,7 @@
     host.stopping = true;
     note(NodeChanged{now, number, NodeState::Stopping});
     host.enter([&host] { host.node()->drain(); });
+    if (tier_) tier_->leave(since_begin(), std::size_t(number));
     scheduler_.call_at(now + kFrontNews, [this, number] { tell_clients(NodeDown{number, true}); });
     Duration longest{3000};
     for (const ClassFigures& c : day_.classes) longest = std::max(longest, c.give_up);
@@ -785,6 +804,7 @@
                 if (!host.running()) return;
                 note(NodeChanged{scheduler_.now(), node, begins ? NodeState::Stalled : NodeState::Resumed});
                 begins ? host.scheduler().stop() : host.scheduler().resume();
+                if (tier_) tier_->stall(since_begin(), std::size_t(node), begins);
             });
             break;
         case FaultKind::NodeRestart:
--- a/lab/sim/world.h
+++ b/lab/sim/world.h
@@ -14,6 +14,7 @@
 #include "lab/sim/network.h"
 #include "lab/sim/node_scheduler.h"
 #include "lab/sim/sim_node.h"
+#include "lab/sim/tier.h"
 #include "lab/sim/virtual_scheduler.h"
 
 namespace ochrehub::lab {
@@ -24,6 +25,7 @@
     std::function<void(Settings&)> settings;  ///< changes what the module is told
     bool bounded_door = true;                 ///< false: nodes let everything in
     bool sheds = true;                        ///< false: nodes read all in its order, however old
+    bool fleet = false;                       ///< nodes know each other, as by [fleet], and divide by those that are here
     std::function<void(NodeNo, const Weather::Change&)> weather;  ///< as nodes see it; hears of each change
 };
 
@@ -115,6 +117,8 @@
     void stop_node(NodeNo node);
     void end_when_quiet(NodeNo node, std::uint32_t life, TimePoint least, TimePoint most);
     void fault(int number, bool begins);
+    void look_at_tier();
+    Duration since_begin() const { return scheduler_.now() - begin_; }
     void note(const Record& record) { witness_.note(record); }
 
     /// Hands something over the network after its delay, not before `not_before`; what is cut off waits till that
@@ -151,6 +155,8 @@
     std::vector<Held> held_;
     std::vector<ServerActions> spare_server_actions_;
     std::vector<ClientActions> spare_client_actions_;
+    std::unique_ptr<Tier> tier_;  // none without `fleet`
+    TimePoint begin_{};
     std::vector<int> down_by_;  // of each server, faults that keep its process down
 };
 
