--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The tasks of this repository. BUILD names the folder of the ordinary build.
 BUILD ?= build
 
-.PHONY: build lab demo test lint run measure-lab measure-play measure-load measure-variants measure-overload measure-members measure-decision clean
+.PHONY: build lab demo demo-fleet test lint run measure-lab measure-play measure-load measure-variants measure-overload measure-members measure-deaths measure-fleet measure-fleet-cost measure-decision clean
 
 build:
 	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release
@@ -17,6 +17,11 @@
 	$(BUILD)/ochrehub_lab play demo --seed 1 --json $(BUILD)/demo.json
 	$(BUILD)/ochrehub_lab report $(BUILD)/demo.json -o $(BUILD)/demo
 
+# Five nodes that know each other, with requests, for 45 s: one is paused, one is heard by nobody, one is killed; then a page.
+demo-fleet: lab
+	$(BUILD)/ochrehub_lab fleet demo --json $(BUILD)/demo-fleet.json
+	$(BUILD)/ochrehub_lab report $(BUILD)/demo-fleet.json -o $(BUILD)/demo-fleet
+
 # Module size, then Release and sanitizer builds with all tests.
 test:
 	tests/run.sh
@@ -48,6 +53,15 @@
 # Membership by gossip at 10, 100 and 1,000 members, and a thousand hours of it: minutes of eight cores.
 measure-members: lab
 	lab/experiments/members.sh $(BUILD)
+# False deaths at 100 and 1,000 members, with pauses and one-sided cuts, beside plain SWIM: minutes of eight cores.
+measure-deaths: lab
+	lab/experiments/false_deaths.sh $(BUILD)
+# The fleet's scenarios on 16 processes, 20 seeds of each, and in virtual time: seven minutes.
+measure-fleet: lab
+	lab/experiments/fleet.sh $(BUILD) 20 12
+# Requests a second of a node with [fleet] beside one without, then with its membership flooded, stopped: 3 minutes.
+measure-fleet-cost: lab
+	lab/experiments/fleet_cost.sh $(BUILD)
 
 clean:
 	rm -rf $(BUILD) build-release build-sanitize
--- a/lab/fleet/judge.cpp
+++ b/lab/fleet/judge.cpp
@@ -218,7 +218,8 @@
             if (event.what == What::Unserved) no += event.value;
         }
         if (yes + no == 0) {
-            if (day_.expect.served >= 0 && day_.servers > 0) broken("requests are sent", day_.length_s);
+            bool sent = std::any_of(events_.begin(), events_.end(), [](const Event& event) { return event.what == What::Begins && event.value == 1; });
+            if (day_.expect.served >= 0 && sent) broken("requests are sent", day_.length_s);
             return;
         }
         double share = yes / (yes + no);
--- a/lab/fleet/processes.cpp
+++ b/lab/fleet/processes.cpp
@@ -34,16 +34,22 @@
 constexpr std::chrono::milliseconds kTick{5};
 constexpr double kAnswerWithin_s = 1, kRequestEvery_s = 0.02;
 
-/// A port that nobody has just now, at an address that is this process's own.
-template <class Socket, class At>
-std::string free_port(At& at) {
-    boost::asio::io_context io;
-    Socket socket(io);
-    socket.open(at.protocol());
-    socket.bind(at);
-    at = socket.local_endpoint();
-    return at.address().to_string() + ":" + std::to_string(at.port());
-}
+/// Ports that nobody has just now, at addresses that are this process's own. All are held until the last has been found: one
+/// that is let go may be the next that the system gives.
+class FreePorts {
+public:
+    template <class Socket, class At>
+    std::string find(At& at) {
+        auto socket = std::make_shared<Socket>(io_, at);
+        at = socket->local_endpoint();
+        held_.push_back(socket);
+        return at.address().to_string() + ":" + std::to_string(at.port());
+    }
+
+private:
+    boost::asio::io_context io_;
+    std::vector<std::shared_ptr<void>> held_;
+};
 
 class Run {
 public:
@@ -58,16 +64,18 @@
         std::ofstream(folder_.path() / "keys") << kKey << "\n";
         chmod((folder_.path() / "keys").c_str(), 0600);
         std::vector<boost::asio::ip::udp::endpoint> places;
+        auto ports = std::make_unique<FreePorts>();
         for (int i = 0; i < day.members; ++i) {
             One& one = *members_.emplace_back(std::make_unique<One>());
             boost::asio::ip::udp::endpoint place(machine(kMembersMachine), 0);
-            one.place = free_port<boost::asio::ip::udp::socket>(place);
+            one.place = ports->find<boost::asio::ip::udp::socket>(place);
             places.push_back(place);
             for (auto [into, text] : {std::pair(&one.serve, &one.serve_text), std::pair(&one.control, &one.control_text)}) {
                 *into = Endpoint(machine(kMembersMachine), 0);
-                *text = free_port<boost::asio::ip::tcp::socket>(*into);
+                *text = ports->find<boost::asio::ip::tcp::socket>(*into);
             }
         }
+        ports.reset();
         relays_.emplace(loop_, links_, places);
         relays_->seen = [this](std::size_t from, std::string_view octets) { look_into(from, octets); };
         if (options.meddles)
@@ -121,7 +129,7 @@
         if (!settled()) return over();
         {
             std::lock_guard lock(mutex_);
-            watch_.begin(now_s());
+            watch_.begin(now_s(), day_.servers > 0);
             begin_ = steady_clock::now();
         }
         counting_ = true;
--- a/lab/fleet/watch.h
+++ b/lab/fleet/watch.h
@@ -24,7 +24,7 @@
         Says,    ///< `who` shows bits of membership::kSays... of itself
         Shares,  ///< `who` divides by `value`
         Served, Unserved,  ///< requests sent to `who` since the last such event
-        Begins,  ///< all know all; faults begin at 0
+        Begins,  ///< all know all; faults begin at 0; value: 1 where requests are sent
         Over,
     };
     double at_s = 0;
@@ -76,9 +76,9 @@
             note({at_s, Event::What::Claims, int(who), int(about), 0});
     }
     /// From here on times are counted anew; all before is before zero.
-    void begin(double at_s) {
+    void begin(double at_s, bool requests = false) {
         for (Event& event : events_) event.at_s -= at_s;
-        note({0, Event::What::Begins, -1, -1, 0});
+        note({0, Event::What::Begins, -1, -1, int(requests)});
     }
     const Picture& now() const { return now_; }
     const std::vector<Event>& events() const { return events_; }
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "base/log.h"
+#include "lab/fleet/flood.h"
 #include "lab/fleet/outcome.h"
 #include "lab/fleet/processes.h"
 #include "lab/fleet/scenario.h"
@@ -229,6 +230,7 @@
         for (const std::string& file : files)
             for (fleet::Outcome& one : fleet::read_outcomes(file)) all.push_back(std::move(one));
         fleet::write_page(all, folder);
+        std::printf("%s", fleet::summary(all).c_str());
         std::printf("%s\n", (std::filesystem::path(folder) / "index.html").c_str());
         return kDone;
     }
@@ -456,6 +458,7 @@
     scenario_of(simulate_command);
     seeded(simulate_command);
     simulate_command->add_flag("--in-order", in_order, "nodes read all in its order, however old: for comparing");
+    simulate_command->add_flag("--fleet", world.fleet, "nodes know each other, as by [fleet], and divide by those that are here");
     simulate_command->add_option("--jobs", jobs, "days at a time")->check(CLI::Range(1, 256))->capture_default_str();
     PlayOptions play_options;
     bool changes = false;
@@ -535,6 +538,11 @@
     fleet_command->add_option("--jobs", jobs, "runs at a time, in virtual time")->check(CLI::Range(1, 256))->capture_default_str();
     fleet_command->add_flag("--shrink", fleet_options.shrink, "the first broken seed's faults, cut down in virtual time");
     fleet_command->add_flag("--quiet", common.quiet, "only the result");
+    double flood_rate = 50000, flood_seconds = 10;
+    CLI::App* flood_command = app.add_subcommand("flood", "datagrams without a key at one member's place");
+    flood_command->add_option("--to", to, "127.b.c.d:port")->required();
+    flood_command->add_option("--rate", flood_rate, "a second")->check(CLI::Range(1.0, 1e6))->capture_default_str();
+    flood_command->add_option("--for", flood_seconds, "seconds")->check(CLI::Range(0.1, 3600.0))->capture_default_str();
     int depth = 6, cuts = 0, pauses = 0;
     CLI::App* explore_command = app.add_subcommand("explore", "all that can happen to three members, from five beginnings, to a depth");
     explore_command->add_option("--depth", depth, "things that happen, one after the other")->check(CLI::Range(1, 14))->capture_default_str();
@@ -566,6 +574,12 @@
         if (*recovery_command) return run_recovery(files, head);
         if (*scenarios_command) return run_scenarios();
         if (*explore_command) return run_explore(depth, cuts, pauses);
+        if (*flood_command) {
+            for (int number : {SIGINT, SIGTERM}) std::signal(number, [](int) { interrupted = true; });
+            fleet::Flooded done = fleet::flood(to, flood_rate, flood_seconds, interrupted);
+            std::printf("%llu datagrams in %.1f s, %llu found no room\n", static_cast<unsigned long long>(done.sent), done.seconds, static_cast<unsigned long long>(done.refused));
+            return kDone;
+        }
         if (*fleet_command) return run_fleet(common, fleet_options, jobs);
         trial.calm = ochrehub::Duration{1000 * calm_seconds};
         trial.swarm.each.lifeguard = trial.swarm.each.last_call = !plain;
--- a/lab/tests/commands.sh
+++ b/lab/tests/commands.sh
@@ -53,4 +53,29 @@
 wants 0 'breaches' "$lab" play "$dir/fine.toml" --node "$node" --json "$dir/p.json"
 wants 0 '^0$' "$lab" figure breaches "$dir/p.json"
 wants 0 'GW_CONFIG' "$lab" serve "$dir/fine.toml" --for 0.2
+
+printf 'members = 3\ninterval_ms = 200\nlength_s = 20\n[[fault]]\nkind = "kill"\nat_s = 0.2\nwho = "2"\n[expect]\nknown_s = 15\n' >"$dir/fleet.toml"
+sed 's/known_s = 15/known_s = 0.1/' "$dir/fleet.toml" >"$dir/fleet_late.toml"
+printf 'members = 3\n[[fault]]\nkind = "clock"\nrate = 1.01\n' >"$dir/clock.toml"
+wants 0 'known .*, 1 times' "$lab" fleet "$dir/fleet.toml" --node "$node" --quiet --json "$dir/f.json"
+wants 0 'index.html' "$lab" report "$dir/f.json" -o "$dir/fleet_page"
+grep -q 'shows 2 as dead' "$dir/fleet_page/index.html" || failed=1
+wants 0 '3 runs, 0 with a broken promise' "$lab" fleet "$dir/fleet.toml" --world virtual --seeds 1..3
+wants 1 'broken: a killed one \(2\) is dead to all others within 0.1 s' "$lab" fleet "$dir/fleet_late.toml" --world virtual
+wants 1 'shrunk from 1 faults' "$lab" fleet "$dir/fleet_late.toml" --world virtual --shrink
+wants 2 'clock.toml:2:1: fault\[0\]|processes have one clock' "$lab" fleet "$dir/clock.toml" --node "$node"
+wants 2 'fleet_wrong.toml:1:1: members' bash -c "echo 'members = 1' >'$dir/fleet_wrong.toml'; '$lab' fleet '$dir/fleet_wrong.toml'"
+wants 2 'no scenario of a fleet' "$lab" fleet no-such
+# However the rig ends, its processes are gone: interrupted, and killed.
+for how in INT KILL; do
+    "$lab" fleet "$dir/fleet.toml" --node "$node" --quiet --logs "$dir/logs_$how" >/dev/null 2>&1 &
+    rig=$!
+    until [ "$( (wc -l <"$dir/logs_$how/1/pids") 2>/dev/null || echo 0)" -ge 3 ]; do sleep 0.02; done
+    kill -$how "$rig"
+    wait "$rig" 2>/dev/null
+    while read -r pid; do
+        # Killed with it, they may still be on their way out; one that stays hangs this until its runner ends it.
+        while [ -d "/proc/$pid" ] && grep -qs node.toml "/proc/$pid/cmdline"; do sleep 0.02; done
+    done <"$dir/logs_$how/1/pids"
+done
 exit $failed
--- a/lab/tests/fleet_test.cpp
+++ b/lab/tests/fleet_test.cpp
@@ -206,8 +206,9 @@
     EXPECT_NE(broken().find("it took 6.00 s"), std::string::npos);
 }
 TEST_F(Judged, RequestsThatAreNotServed) {
-    day.servers = 1;
     day.expect.served = 0.99;
+    EXPECT_EQ(broken(), "");
+    events.back().value = 1;
     EXPECT_NE(broken().find("requests are sent"), std::string::npos);
     add(1, What::Served, 0, -1, 99);
     add(2, What::Unserved, 1, -1, 1);
