--- a/lab/fleet/day.cpp
+++ b/lab/fleet/day.cpp
@@ -8,7 +8,7 @@
 
 constexpr double kSlowPeriod_s = 0.1, kSlowRuns_s = 0.01;
 constexpr const char* kNames[] = {"cut",  "loss",  "late",   "doubled", "reorder", "pause", "slow",
-                                  "kill", "leave", "replay", "clock",   "stall",   "reset", "crawl"};
+                                  "kill", "leave", "replay", "clock",   "stall",   "reset", "crawl", "rekey"};
 
 bool holds(const std::vector<int>& list, int one) {
     return std::find(list.begin(), list.end(), one) != list.end();
@@ -44,6 +44,7 @@
     if (!to.empty()) out += (both ? " and " : " to ") + listed(to);
     if (part < 1) std::snprintf(line, sizeof line, ", %.2f of them", part), out += line;
     if (ms != 0) std::snprintf(line, sizeof line, ", %.0f ms", ms), out += line;
+    if (!keys.empty()) out += ", keys " + keys;
     if (kind == FaultKind::Clock) std::snprintf(line, sizeof line, ", at %.3f", rate), out += line;
     if (back_s >= 0) std::snprintf(line, sizeof line, ", back after %.2f s%s", back_s, empty ? ", empty" : ""), out += line;
     return out;
@@ -86,6 +87,9 @@
                 case FaultKind::Leave:
                     all.push_back({fault.at_s, Do::Leave, number, who});
                     break;
+                case FaultKind::Rekey:
+                    all.push_back({fault.at_s, Do::Rekey, number, who});
+                    break;
                 case FaultKind::Clock:
                     all.push_back({fault.at_s, Do::ClockOn, number, who});
                     if (fault.for_s > 0) all.push_back({end, Do::ClockOff, number, who});
--- a/lab/fleet/day.h
+++ b/lab/fleet/day.h
@@ -23,6 +23,7 @@
     Stall,    ///< connections to servers stand still without being closed
     Reset,    ///< ... are reset in the middle of a message
     Crawl,    ///< ... carry `bytes_s`
+    Rekey,    ///< the file of keys of `who` now holds `keys`, and the process is told (SIGHUP); on processes alone
 };
 const char* name(FaultKind kind);
 
@@ -34,6 +35,7 @@
     double part = 1, ms = 0, rate = 1, bytes_s = 1000;
     double back_s = -1;  ///< negative: never
     bool empty = false;  ///< ... with an empty folder
+    std::string keys;    ///< a letter a line: all begin with "a"
 
     /// What `from` sends to `to` is touched by it.
     bool touches(int from, int to) const;
@@ -74,7 +76,7 @@
 
 /// What is done to the fleet, in order.
 struct Step {
-    enum class Do { FaultOn, FaultOff, Stop, GoOn, Kill, Start, Leave, Replay, ClockOn, ClockOff };
+    enum class Do { FaultOn, FaultOff, Stop, GoOn, Kill, Start, Leave, Replay, ClockOn, ClockOff, Rekey };
     double at_s = 0;
     Do what = Do::FaultOn;
     int fault = 0, who = -1;
--- a/lab/fleet/outcome.cpp
+++ b/lab/fleet/outcome.cpp
@@ -34,7 +34,7 @@
 }
 
 FaultKind kind_of(const std::string& word) {
-    for (int i = 0; i <= int(FaultKind::Crawl); ++i)
+    for (int i = 0; i <= int(FaultKind::Rekey); ++i)
         if (word == name(FaultKind(i))) return FaultKind(i);
     throw std::runtime_error("no kind of fault: " + word);
 }
--- a/lab/fleet/processes.cpp
+++ b/lab/fleet/processes.cpp
@@ -29,7 +29,9 @@
 using std::chrono::duration;
 using std::chrono::steady_clock;
 
-constexpr const char* kKey = "a-key-of-the-lab-for-one-run";
+std::string key(char letter) {
+    return std::string("a-key-of-the-lab-for-one-run-") + letter;
+}
 constexpr unsigned kMembersMachine = 1, kServersRelays = 201;
 constexpr std::chrono::milliseconds kTick{5};
 constexpr double kAnswerWithin_s = 1, kRequestEvery_s = 0.02;
@@ -61,8 +63,6 @@
         if (program_.empty()) program_ = std::filesystem::canonical("/proc/self/exe").parent_path() / "ochrehub";
         if (!std::filesystem::exists(program_)) throw std::invalid_argument(program_.string() + " is not there: --node names the program");
         raise_descriptor_limit();
-        std::ofstream(folder_.path() / "keys") << kKey << "\n";
-        chmod((folder_.path() / "keys").c_str(), 0600);
         std::vector<boost::asio::ip::udp::endpoint> places;
         auto ports = std::make_unique<FreePorts>();
         for (int i = 0; i < day.members; ++i) {
@@ -95,6 +95,7 @@
         }
         for (std::size_t i = 0; i < members_.size(); ++i) {
             prepare(i);
+            write_keys(i, "a");
             NodeCommand command;
             command.program = program_.string();
             command.arguments = {"node", "--config", (home(i) / "node.toml").string()};
@@ -189,11 +190,20 @@
         if (one.to_servers.empty()) out << "[[server]]\naddress = \"" << one.serve.address().to_string() << ":9\"\n[health]\nprobes = false\n";
         out << "[fleet]\nlisten = \"" << one.place << "\"\nadvertise = \"" << relays_->shown(i) << "\"\njoin = [";
         for (std::size_t s = 0; s < std::size_t(day_.seeds); ++s) out << (s > 0 ? ", " : "") << '"' << relays_->shown(s) << '"';
-        out << "]\nkey_file = \"" << (folder_.path() / "keys").string() << "\"\ninterval_ms = " << day_.interval_ms
+        out << "]\nkey_file = \"" << home(i).string() << ".keys" << "\"\ninterval_ms = " << day_.interval_ms
             << "\nisolated_ms = " << day_.isolated_ms << "\n";
         out.close();
         if (!out) throw std::runtime_error("cannot write " + (home(i) / "node.toml").string());
     }
+    void write_keys(std::size_t i, const std::string& letters) {
+        std::filesystem::path path = folder_.path() / ("m" + std::to_string(i) + ".keys"), fresh = path;
+        fresh += ".new";
+        std::ofstream out(fresh);
+        for (char letter : letters) out << key(letter) << "\n";
+        out.close();
+        chmod(fresh.c_str(), 0600);
+        std::filesystem::rename(fresh, path);  // whole at any moment
+    }
     void start(std::size_t i) {
         One& one = *members_[i];
         one.process->start();
@@ -277,6 +287,10 @@
             case Do::Replay:
                 loop_.call([this] { return relays_->replay(), 0; });
                 break;
+            case Do::Rekey:
+                write_keys(who, day_.faults[std::size_t(step.fault)].keys);
+                one.process->signal(SIGHUP);
+                break;
             case Do::ClockOn:
             case Do::ClockOff:
                 break;
@@ -364,7 +378,7 @@
     std::vector<std::unique_ptr<PlainServer>> servers_;
     std::optional<DatagramRelays> relays_;
     std::unordered_map<std::string, std::size_t> places_;
-    membership::Keys keys_{{kKey}};
+    membership::Keys keys_{{key('a'), key('b'), key('c'), key('d')}};
     const std::uint32_t cluster_ = membership::fingerprint("ochrehub");
     std::atomic<bool> over_{false}, counting_{false};
     steady_clock::time_point begin_{};
--- a/lab/fleet/scenario.cpp
+++ b/lab/fleet/scenario.cpp
@@ -84,13 +84,13 @@
 };
 
 std::optional<FaultKind> kind_of(std::string_view word) {
-    for (int i = 0; i <= int(FaultKind::Crawl); ++i)
+    for (int i = 0; i <= int(FaultKind::Rekey); ++i)
         if (word == name(FaultKind(i))) return FaultKind(i);
     return std::nullopt;
 }
 std::string fault_of_kind() {
     std::vector<std::string_view> all;
-    for (int i = 0; i <= int(FaultKind::Crawl); ++i) all.push_back(name(FaultKind(i)));
+    for (int i = 0; i <= int(FaultKind::Rekey); ++i) all.push_back(name(FaultKind(i)));
     return config::fault_of_words(all);
 }
 
@@ -137,6 +137,7 @@
                 config::number({.name = "ms", .fallback = "0", .help = "late by up to; a clock's jump"}, &Told::ms, -600000.0, 600000.0),
                 config::number({.name = "rate", .fallback = "1", .help = "a clock's"}, &Told::rate, 0.5, 2.0),
                 config::number({.name = "bytes_s", .fallback = "1000", .help = "of a connection that crawls"}, &Told::bytes_s, 1.0, 1e9),
+                config::text({.name = "keys", .help = "new keys: a letter a key, the first signs; all begin with a"}, &Told::keys),
                 seconds("back_s", "-1", &Told::back_s, "killed: started again behind so long; -1: never"),
                 config::flag({.name = "empty", .fallback = "off", .help = "... with an empty folder"}, &Told::empty),
                 config::number({.name = "times", .fallback = "1", .help = "so often, with draws of its own each time"}, &Told::times, 1,
@@ -194,6 +195,9 @@
             look("who", all.faults_[i].who);
             look("to", all.faults_[i].to);
             FaultKind kind = all.faults_[i].kind;
+            const std::string& keys = all.faults_[i].keys;
+            bool letters = !keys.empty() && keys.size() <= 4 && std::all_of(keys.begin(), keys.end(), [](char c) { return c >= 'a' && c <= 'd'; });
+            if (kind == FaultKind::Rekey && !letters) file.wrong(key + "keys", "is not one to four of the letters a to d");
             if ((kind == FaultKind::Pause || kind == FaultKind::Slow) && all.faults_[i].for_s <= 0)
                 file.wrong(key + "for_s", "is missing: how long it is stopped");
         }
@@ -237,6 +241,7 @@
         fault.bytes_s = told.bytes_s;
         if (told.kind == FaultKind::Kill) fault.back_s = told.back_s;
         fault.empty = told.empty;
+        if (told.kind == FaultKind::Rekey) fault.keys = told.keys;
         day.faults.push_back(std::move(fault));
     };
     for (const Told& told : faults_)
--- a/lab/fleet/scenario.h
+++ b/lab/fleet/scenario.h
@@ -34,7 +34,7 @@
         FaultKind kind = FaultKind::Cut;
         double at_s = 0, for_s = 0, part = 1, ms = 0, rate = 1, bytes_s = 1000, back_s = -1, every_s = 0, jitter_s = 0;
         int times = 1;
-        std::string who = "any 1", to = "others";
+        std::string who = "any 1", to = "others", keys;
         bool both = false, empty = false;
     };
     struct Drawn {
--- a/lab/fleet/virtual.cpp
+++ b/lab/fleet/virtual.cpp
@@ -1,6 +1,7 @@
 #include "lab/fleet/virtual.h"
 
 #include <algorithm>
+#include <stdexcept>
 
 #include "lab/fleet/links.h"
 #include "lab/swarm/swarm.h"
@@ -122,6 +123,8 @@
             case Do::ClockOn:
                 swarm_.clock(who, fault.rate, Duration{fault.ms});
                 break;
+            case Do::Rekey:  // refused by run_virtual
+                break;
             case Do::ClockOff:
                 swarm_.clock(who, 1, Duration{0});
                 break;
@@ -159,6 +162,8 @@
 }  // namespace
 
 std::vector<Event> run_virtual(const Day& day, const VirtualOptions& options) {
+    for (const Fault& fault : day.faults)
+        if (fault.kind == FaultKind::Rekey) throw std::invalid_argument("keys are files of processes: a fault of them is not for --world virtual");
     return World(day, options).run();
 }
 
--- a/lab/fleet/virtual.h
+++ b/lab/fleet/virtual.h
@@ -18,7 +18,7 @@
     std::function<bool(std::size_t from, membership::Send&)> meddles;
 };
 
-/// Faults of connections have nothing to touch here and do nothing. Restarts forget everything, as processes do.
+/// Throws std::invalid_argument for a day with faults of keys. Faults of connections have nothing to touch here and do nothing. Restarts forget everything, as processes do.
 std::vector<Event> run_virtual(const Day& day, const VirtualOptions& options = {});
 
 inline constexpr double kLookEvery_s = 0.1;  ///< at what operators are shown, in both worlds
