--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -21,6 +21,7 @@
 
 #include "base/log.h"
 #include "lab/fleet/flood.h"
+#include "lab/fleet/heartbeats.h"
 #include "lab/fleet/outcome.h"
 #include "lab/fleet/processes.h"
 #include "lab/fleet/scenario.h"
@@ -359,8 +360,13 @@
         one.events = world(one.day);
         one.verdict = fleet::judge(one.day, one.events);
     };
-    if (options.world == "virtual") {
-        in_parallel(outcomes.size(), jobs, [&](std::size_t i) { run(i, [](const fleet::Day& day) { return fleet::run_virtual(day); }); });
+    if (options.world != "processes") {
+        in_parallel(outcomes.size(), jobs, [&](std::size_t i) {
+            run(i, [&](const fleet::Day& day) {
+                if (options.world == "virtual") return fleet::run_virtual(day);
+                return fleet::run_heartbeats(day, options.world == "phi" ? fleet::Detector::Phi : fleet::Detector::Timeout);
+            });
+        });
     } else {
         // Processes end with this one however it ends; asked to, it takes their folders along.
         for (int number : {SIGINT, SIGTERM, SIGHUP}) std::signal(number, [](int) { interrupted = true; });
@@ -530,8 +536,8 @@
     fleet_command->add_option("scenario", common.scenario, "a shipped scenario's name, or a TOML file")->required();
     auto* fleet_seed = fleet_command->add_option("--seed", common.seed, "what is drawn is drawn from it")->capture_default_str();
     fleet_command->add_option("--seeds", common.seeds, "FIRST..LAST: a run for each")->excludes(fleet_seed);
-    fleet_command->add_option("--world", fleet_options.world, "processes, or virtual: the same cores in virtual time")
-        ->check(CLI::IsMember({"processes", "virtual"}))->capture_default_str();
+    fleet_command->add_option("--world", fleet_options.world, "processes; virtual: the same cores in virtual time; all-to-all, phi: simpler detectors, to compare")
+        ->check(CLI::IsMember({"processes", "virtual", "all-to-all", "phi"}))->capture_default_str();
     fleet_command->add_option("--json", common.json, "write the results there, for report");
     fleet_command->add_option("--logs", fleet_options.logs, "keep folders and logs there, a folder for each seed");
     fleet_command->add_option("--node", fleet_options.program, "the program; default: ochrehub beside this one")->check(CLI::ExistingFile);
