Read no more datagrams in a tenth of a second than a fleet sends

Each datagram was read and decoded, a turn of the loop each.

A member reads a hundred in a tenth of a second and one more for each member it knows, and leaves the rest to the kernel to drop; figure fleet_reading_held_total. A test on a clock that stands still; the old code reads all at once.

--- a/src/membership/side.cpp
+++ b/src/membership/side.cpp
@@ -107,6 +107,7 @@
     View view = view_of(member_.core(), now);
     view.cluster = cluster_;
     view.unsent = member_.unsent();
+    view.held = member_.held();
     for (std::size_t i = 0; i < kFaults; ++i) view.refused[i] = member_.refused(Fault(i));
     view.sharing = share_.see(now, view.here);
     int me = 0;
--- a/src/membership/udp.cpp
+++ b/src/membership/udp.cpp
@@ -34,6 +34,19 @@
 }
 
 void UdpMember::read() {
+    TimePoint now = scheduler_.now();
+    if (now >= slice_ends_) {
+        slice_ends_ = now + kSlice;
+        read_in_slice_ = 0;
+    }
+    if (++read_in_slice_ > kReadLeast + core_.size()) {
+        ++held_;
+        resume_ = scheduler_.call_at(slice_ends_, [this] {
+            resume_ = 0;
+            read();
+        });
+        return;
+    }
     socket_.async_receive_from(asio::buffer(octets_), from_, [this](error_code error, std::size_t size) {
         if (closed_) return;
         // An ICMP answer to one of its own datagrams ends a wait on Linux; the socket is as good as before.
@@ -97,6 +110,7 @@
 void UdpMember::close() {
     if (std::exchange(closed_, true)) return;
     scheduler_.cancel(std::exchange(timer_, 0));
+    scheduler_.cancel(std::exchange(resume_, 0));
     error_code ignored;
     socket_.close(ignored);
 }
--- a/src/membership/udp.h
+++ b/src/membership/udp.h
@@ -12,10 +12,13 @@
 namespace ochrehub::membership {
 
 /// Must outlive all that its io_context still runs for it: `close` it and let that come to its end. Datagrams are read
-/// one a turn, so that a flood of them does not hold up the loop; what the kernel then drops was as good as lost.
+/// one a turn, and no more in a tenth of a second than kReadLeast and one for each member that it knows: a flood neither holds
+/// up the loop nor takes the core from requests. What the kernel then drops was as good as lost.
 class UdpMember {
 public:
     using Endpoint = boost::asio::ip::udp::endpoint;
+    static constexpr Duration kSlice{100};
+    static constexpr std::size_t kReadLeast = 100;
 
     /// Binds to `listen` (IPv4; port 0: any that is free) and takes its place from there. Throws where it cannot.
     /// Where `settings.self` is given, that is its place: others reach it there, by whatever way.
@@ -35,6 +38,8 @@
     Place place() const { return place_; }
     std::uint64_t refused(Fault fault) const { return refused_[std::size_t(fault)]; }
     std::uint64_t unsent() const { return unsent_; }
+    /// How often reading waited for the next tenth of a second.
+    std::uint64_t held() const { return held_; }
     std::function<void(const Changed&)> changed;
     std::function<void(const Restarted&)> restarted;
     std::function<void(const OfItself&)> of_itself;
@@ -58,7 +63,10 @@
     TimerId timer_ = 0;
     std::function<void()> over_;
     std::array<std::uint64_t, kFaults> refused_{};
-    std::uint64_t unsent_ = 0;
+    std::uint64_t unsent_ = 0, held_ = 0;
+    TimePoint slice_ends_{};
+    std::size_t read_in_slice_ = 0;
+    TimerId resume_ = 0;
     bool closed_ = false;
 };
 
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -162,6 +162,7 @@
     describe("fleet_datagrams_total", "counter", "Datagrams by what became of them.");
     value("fleet_datagrams_total{what=\"sent\"}", view.counts.sent);
     value("fleet_datagrams_total{what=\"unsent\"}", view.unsent);
+    value("fleet_reading_held_total", view.held);
     value("fleet_datagrams_total{what=\"received\"}", view.counts.received);
     for (std::size_t i = 1; i < kFaults; ++i)
         value("fleet_datagrams_total{what=\"" + std::string(name(Fault(i))) + "\"}", view.refused[i]);
--- a/tests/udp_member.cpp
+++ b/tests/udp_member.cpp
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <functional>
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include "base/asio_scheduler.h"
@@ -20,7 +21,58 @@
 using namespace ochrehub;
 using namespace ochrehub::membership;
 
+namespace {
+
+/// Stands still till it is told otherwise.
+class Still : public Scheduler {
+public:
+    TimePoint now() const override { return now_; }
+    void post(Task task) override { task(); }
+    TimerId call_at(TimePoint at, Task task) override {
+        waiting_.emplace_back(at, std::move(task));
+        return waiting_.size();
+    }
+    void cancel(TimerId) override {}
+    void go_to(TimePoint at) {
+        now_ = at;
+        auto all = std::exchange(waiting_, {});
+        for (auto& [due, task] : all)
+            if (due <= at) task();
+    }
+
+private:
+    TimePoint now_{Duration{1000}};
+    std::vector<std::pair<TimePoint, Task>> waiting_;
+};
+
+// However many are there, so many are read in a tenth of a second, and then as many again.
+void a_flood_waits() {
+    boost::asio::io_context io;
+    Still clock;
+    UdpMember::Endpoint any(boost::asio::ip::address_v4::loopback(), 0);
+    UdpMember member(io, clock, any, {}, Keys(), 1);
+    UdpMember::Endpoint at(boost::asio::ip::address_v4(member.place().host), member.place().port);
+    boost::asio::ip::udp::socket noise(io, any);
+    char octet = 0;
+    for (std::size_t i = 0; i < 2 * UdpMember::kReadLeast; ++i) noise.send_to(boost::asio::buffer(&octet, 1), at);
+    io.poll();
+    CHECK(member.refused(Fault::Version) == UdpMember::kReadLeast && member.held() == 1);
+    io.restart();
+    io.poll();
+    CHECK(member.refused(Fault::Version) == UdpMember::kReadLeast);
+    clock.go_to(clock.now() + UdpMember::kSlice);
+    io.restart();
+    io.poll();
+    CHECK(member.refused(Fault::Version) == 2 * UdpMember::kReadLeast);
+    member.close();
+    io.restart();
+    io.poll();
+}
+
+}  // namespace
+
 int main() {
+    a_flood_waits();
     boost::asio::io_context io;
     AsioScheduler scheduler(io);
     UdpMember::Endpoint any(boost::asio::ip::address_v4::loopback(), 0);
