--- a/lab/fleet/day.cpp
+++ b/lab/fleet/day.cpp
@@ -18,8 +18,8 @@
     for (std::size_t i = 0; i < list.size(); ++i) {
         std::size_t last = i;  // of a run of them
         while (last + 1 < list.size() && list[last + 1] == list[last] + 1) ++last;
-        out += (out.empty() ? "" : ",") + std::to_string(list[i]);
-        if (last > i) out += "-" + std::to_string(list[last]);
+        out.append(i == 0 ? "" : ",").append(std::to_string(list[i]));
+        if (last > i) out.append("-").append(std::to_string(list[last]));
         i = last;
     }
     return out;
