--- a/lab/fleet/processes.cpp
+++ b/lab/fleet/processes.cpp
@@ -100,7 +100,7 @@
             command.program = program_.string();
             command.arguments = {"node", "--config", (home(i) / "node.toml").string()};
             command.environment = {"TMPDIR=" + home(i).string()};
-            command.log = (folder_.path() / ("m" + std::to_string(i) + ".log")).string();
+            command.log = beside(i, ".log").string();
             members_[i]->process.emplace(std::move(command));
         }
     }
@@ -157,7 +157,11 @@
     };
 
     double now_s() const { return duration<double>(steady_clock::now() - begin_).count(); }
-    std::filesystem::path home(std::size_t i) const { return folder_.path() / ("m" + std::to_string(i)); }
+    std::filesystem::path home(std::size_t i) const { return folder_.path() / std::string("m").append(std::to_string(i)); }
+    std::filesystem::path beside(std::size_t i, const char* ending) const {
+        std::filesystem::path path = home(i);
+        return path += ending;
+    }
     bool enough() const { return day_.expect.whole_s < 0 || now_s() > day_.calm_from_s() + day_.expect.whole_s; }
     bool settled() {
         std::lock_guard lock(mutex_);
@@ -190,14 +194,13 @@
         if (one.to_servers.empty()) out << "[[server]]\naddress = \"" << one.serve.address().to_string() << ":9\"\n[health]\nprobes = false\n";
         out << "[fleet]\nlisten = \"" << one.place << "\"\nadvertise = \"" << relays_->shown(i) << "\"\njoin = [";
         for (std::size_t s = 0; s < std::size_t(day_.seeds); ++s) out << (s > 0 ? ", " : "") << '"' << relays_->shown(s) << '"';
-        out << "]\nkey_file = \"" << home(i).string() << ".keys" << "\"\ninterval_ms = " << day_.interval_ms
+        out << "]\nkey_file = \"" << beside(i, ".keys").string() << "\"\ninterval_ms = " << day_.interval_ms
             << "\nisolated_ms = " << day_.isolated_ms << "\n";
         out.close();
         if (!out) throw std::runtime_error("cannot write " + (home(i) / "node.toml").string());
     }
     void write_keys(std::size_t i, const std::string& letters) {
-        std::filesystem::path path = folder_.path() / ("m" + std::to_string(i) + ".keys"), fresh = path;
-        fresh += ".new";
+        std::filesystem::path path = beside(i, ".keys"), fresh = beside(i, ".keys.new");
         std::ofstream out(fresh);
         for (char letter : letters) out << key(letter) << "\n";
         out.close();
