--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	$(BUILD)/ochrehub_lab play demo --seed 1 --json $(BUILD)/demo.json
 	$(BUILD)/ochrehub_lab report $(BUILD)/demo.json -o $(BUILD)/demo
 
-# Five nodes that know each other, with requests, for 45 s: one is paused, one is heard by nobody, one is killed; then a page.
+# Five nodes that know each other, with requests, for half a minute: one is paused, one is heard by nobody, one is killed; then a page.
 demo-fleet: lab
 	$(BUILD)/ochrehub_lab fleet demo --json $(BUILD)/demo-fleet.json
 	$(BUILD)/ochrehub_lab report $(BUILD)/demo-fleet.json -o $(BUILD)/demo-fleet
