--- a/lab/tests/fleet_test.cpp
+++ b/lab/tests/fleet_test.cpp
@@ -1,7 +1,6 @@
 // The rig's parts: scenarios, the judge by events made by hand, saboteurs in virtual time, shrinking, the result's form.
 #include <gtest/gtest.h>
 
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 
@@ -10,6 +9,7 @@
 #include "lab/fleet/scenario.h"
 #include "lab/fleet/shrink.h"
 #include "lab/fleet/virtual.h"
+#include "lab/play/temporary_folder.h"
 
 namespace ochrehub::lab::fleet {
 namespace {
@@ -18,21 +18,14 @@
 using membership::Kind;
 using membership::State;
 
-class Folder {
+class Folder : TemporaryFolder {
 public:
-    Folder() {
-        std::string made = (std::filesystem::temp_directory_path() / "fleet.XXXXXX").string();
-        path_ = mkdtemp(made.data());
-    }
-    ~Folder() { std::filesystem::remove_all(path_); }
+    Folder() : TemporaryFolder("") {}
     std::string file(const std::string& text) const {
-        std::ofstream(path_ / "s.toml") << text;
-        return (path_ / "s.toml").string();
+        std::ofstream(path() / "s.toml") << text;
+        return (path() / "s.toml").string();
     }
-    std::filesystem::path operator/(const char* name) const { return path_ / name; }
-
-private:
-    std::filesystem::path path_;
+    std::filesystem::path operator/(const char* name) const { return path() / name; }
 };
 
 std::string fault_of(const std::string& text) {
