Learn no epoch that is none in the fence

A keeper's word of epoch zero was written as a record that a restart would not read. Found on reading the change again; the test fails without it.

--- a/src/fence/fence.cpp
+++ b/src/fence/fence.cpp
@@ -79,7 +79,7 @@
 
 void Fence::learnt(std::string_view name, std::uint64_t epoch) {
     auto it = duties_.find(name);
-    if (name.empty() || name.size() > set_.name || (it == duties_.end() ? duties_.size() >= set_.duties : it->second.epoch >= epoch)) return;
+    if (epoch == 0 || name.empty() || name.size() > set_.name || (it == duties_.end() ? duties_.size() >= set_.duties : it->second.epoch >= epoch)) return;
     change(Kind::Epoch, name, epoch);
 }
 
--- a/tests/fence_test.cpp
+++ b/tests/fence_test.cpp
@@ -79,6 +79,8 @@
     Fence fence(learns);
     EXPECT_EQ(fence.begin("a", 4, 1).verdict, V::NotYet);
     fence.learnt("a", 5);
+    fence.learnt("b", 0);  // no epoch: nothing that could be written and read again
+    EXPECT_EQ(fence.duties(), 1u);
     EXPECT_EQ(fence.begin("a", 5, 1).verdict, V::NotYet);
     fence.complete();
     EXPECT_EQ(fence.begin("a", 4, 1).verdict, V::Stale);
