Name the seam by which a client that has left is seen before an attempt begins

Need: a client that closes has gone, and nothing may be begun for it more than 0.1 s later. The engine hears of a close only once the session has read it. Caller::gone() and UpstreamEvents::wanted() are where an attempt can look in the very instant in which it begins or is written; both say what counted before until somebody overrides them. Measured: nothing yet, the header alone.

--- a/src/engine/types.h
+++ b/src/engine/types.h
@@ -39,6 +39,9 @@
 public:
     virtual ~Caller() = default;
     virtual void answer(Reply reply) = 0;
+    /// Looked at in the instant before an attempt begins, and before its first byte leaves: the client has closed its
+    /// connection or called its request off, though nobody has read that yet.
+    virtual bool gone() { return false; }
 };
 
 struct AttemptId {
@@ -64,6 +67,8 @@
 class UpstreamEvents {
 public:
     virtual ~UpstreamEvents() = default;
+    /// Somebody still waits for this attempt. Asked once its connection is up, which may be long after its start.
+    virtual bool wanted(AttemptId /*id*/) { return true; }
     virtual void attempt_ended(AttemptId id, AttemptResult result) = 0;
     virtual void probe_ended(ServerId server, Duration elapsed, Outcome outcome, LoadReport report) = 0;
 };
