Leave a connection its request where it comes up as its time runs out

A keyed request goes elsewhere only where its attempt never ran. Cause: Connection::connect() cancels its timer when the connection is up and writes; a timer that had run out in that same turn of the loop is not stopped by cancel(), and its handler told NotSent of a request that had been written whole. The engine took it for ConnectFailed, the module sent it on to another cell. The wait between two parts of an answer had the same fault (Garbage in place of the answer). Ruled out by reading: cells and windows of the module (a repeat looks at each attempt that is not proved unrun), forgotten servers (attempts hold them), the engine's own time-outs (stop() says what was written), the pool's probes (they look at what cancel() gives back). Change: each arming of the timer has a number, and a wait of an earlier one does nothing.

--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -66,18 +66,31 @@
     if (!error) socket_.non_blocking(true, error);
     if (!error) socket_.set_option(asio::ip::tcp::no_delay(true), error);
     if (error) return finish(End::NotSent);  // no descriptor, say
-    timer_.expires_after(std::chrono::duration_cast<Steady::duration>(connect_timeout_));
-    timer_.async_wait([self = shared_from_this(), turn = turn_](error_code stopped) {
-        if (!stopped && turn == self->turn_) self->finish(End::NotSent);
-    });
+    call_in(std::chrono::duration_cast<Steady::duration>(connect_timeout_),
+            [](Connection& self) { self.finish(End::NotSent); });
     socket_.async_connect(to_, [self = shared_from_this(), turn = turn_](error_code failed) {
         if (turn != self->turn_) return;
-        self->timer_.cancel();
+        self->stop_timer();
         if (failed) return self->finish(End::NotSent);
         self->begin();
     });
 }
 
+// A connection that comes up, or bytes that come, in the turn of the loop in which the time runs out: the timer's handler
+// is on its way already and no cancel() stops it. What it was to end has gone on, and may have been written whole.
+void Connection::call_in(Steady::duration time, void (*what)(Connection&)) {
+    stop_timer();
+    timer_.expires_after(time);
+    timer_.async_wait([self = shared_from_this(), turn = turn_, armed = armed_, what](error_code stopped) {
+        if (!stopped && turn == self->turn_ && armed == self->armed_) what(*self);
+    });
+}
+
+void Connection::stop_timer() {
+    ++armed_;
+    timer_.cancel();
+}
+
 void Connection::begin() {
     if (may_send_ && !may_send_()) return finish(End::NotSent, true);
     write();
@@ -129,11 +142,7 @@
 
 void Connection::read() {
     if (stream_ && !unread_ && pool_.dry()) {  // others hold all there is: their clients are slow
-        timer_.expires_after(kDryRest);
-        timer_.async_wait([self = shared_from_this(), turn = turn_](error_code stopped) {
-            if (!stopped && turn == self->turn_) self->read();
-        });
-        return;
+        return call_in(kDryRest, [](Connection& self) { self.read(); });
     }
     if (!unread_) unread_ = pool_.take();
     // One buffer a turn: a server that never stops must not hold the loop.
@@ -177,7 +186,7 @@
         unread_.drop_front(used);
         bool full = bad == boost::beast::http::error::need_buffer;
         if (full && stream_) {
-            timer_.cancel();  // whoever takes it is slow, not the server
+            stop_timer();  // whoever takes it is slow, not the server
             stream_->wait_for_room([self = shared_from_this(), turn = turn_] {
                 if (turn != self->turn_) return;
                 bool ended = false;
@@ -205,7 +214,7 @@
             // An interim answer: the real one follows. Nobody asked for another protocol, nor for interim answers
             // without end.
             if (status == 101 || ++interims_ > kInterimMost) return ends(End::Garbage);
-            timer_.cancel();
+            stop_timer();
             expect_answer();
             if (unread_.view().empty()) return true;
             began_at_ = Steady::now();
@@ -250,7 +259,7 @@
     whole ? stream_->end() : stream_->break_off();
     stream_.reset();
     unread_.release();
-    timer_.cancel();
+    stop_timer();
     parser_.reset();
     if (!reusable) {
         error_code ignored;
@@ -261,17 +270,14 @@
 
 void Connection::limit_answer() {
     if (answer_most_.count() == 0) return;
-    timer_.expires_after(stream_ ? kStreamMost : answer_most_);
-    timer_.async_wait([self = shared_from_this(), turn = turn_](error_code stopped) {
-        if (!stopped && turn == self->turn_) self->finish(End::Garbage);
-    });
+    call_in(stream_ ? kStreamMost : answer_most_, [](Connection& self) { self.finish(End::Garbage); });
 }
 
 void Connection::finish(End end, bool reusable) {
     if (stream_) return end_stream(false, false);
     ++turn_;
     unread_.release();
-    timer_.cancel();
+    stop_timer();
     if (!reusable) {
         error_code ignored;
         socket_.close(ignored);
@@ -302,7 +308,7 @@
 bool Connection::close() {
     ++turn_;
     error_code ignored;
-    timer_.cancel();
+    stop_timer();
     socket_.close(ignored);
     done_ = nullptr;
     may_send_ = nullptr;
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -78,6 +78,8 @@
     void begin_stream();
     void end_stream(bool whole, bool reusable);
     void limit_answer();
+    void call_in(Steady::duration time, void (*what)(Connection&));
+    void stop_timer();
     void expect_answer();
     void finish(End end, bool reusable = false);
     void tell(Result result);
@@ -86,6 +88,7 @@
     BufferPool& pool_;
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;  // of the connecting, then of the answer
+    std::uint64_t armed_ = 0;          // a wait of an earlier arming does nothing
     Endpoint to_;
     Duration connect_timeout_;
     std::chrono::milliseconds answer_most_;
