Begin no attempt for a client that has left, its end still unread

A client's close was acted on only once its bytes had been read to the end: what lay in front of it, a pipelined request, one that the module held back, or a second attempt, was still sent to a server. Now the engine asks the caller in the instant before each attempt, and ServerPool may ask once a connection is up; ClientSession looks at its socket's state, by poll and by TCP_INFO, where a call that fails or says nothing counts for nothing. Gone: nothing begins, the request departs and the session closes.

The lab's session names its own end left(), as gone() now belongs to Caller.

--- a/lab/sim/sim_front.cpp
+++ b/lab/sim/sim_front.cpp
@@ -117,11 +117,11 @@
     void close() {
         if (state_ == State::Closed) return;
         front_.world_.close_client(connection_);
-        gone();
+        left();
     }
 
     /// Whoever closed it.
-    void gone() {
+    void left() {
         if (state_ == State::Closed) return;
         state_ = State::Closed;
         if (std::exchange(submitted_, false)) {
@@ -220,7 +220,7 @@
 void SimFront::closed(ClientConnection connection) {
     if (auto it = sessions_.find(connection); it != sessions_.end()) {
         std::shared_ptr<Session> session = it->second;
-        session->gone();
+        session->left();
     }
     std::erase_if(backlog_, [&](const Backlogged& waiting) { return waiting.connection == connection; });
 }
--- a/lab/tests/engine_test.cpp
+++ b/lab/tests/engine_test.cpp
@@ -65,6 +65,8 @@
         ++heard;
         verdict = reply.verdict;
     }
+    bool gone() override { return left; }
+    bool left = false;
     int heard = 0;
     Verdict verdict{};
 };
@@ -155,6 +157,51 @@
     for (const auto& client : rig.clients) EXPECT_EQ(client->heard, 0);
 }
 
+// Their ends were in the sockets, and nobody had read them: attempts once began for them all the same.
+TEST(Engine, BeginsNoAttemptForACallerThatIsGone) {
+    Rig rig(2);
+    auto stayed = rig.ask(0, 500), left = rig.ask(0, 500);
+    left->left = true;
+    rig.run_to(400);
+    EXPECT_EQ(rig.servers.started, 1);
+    EXPECT_EQ(stayed->heard, 1);
+    EXPECT_EQ(left->heard, 0);
+    EXPECT_EQ(rig.engine.open_requests(), 0u);
+    EXPECT_EQ(rig.engine.held_requests(), 0u);
+    EXPECT_EQ(rig.bodies, 0) << "bodies still held";
+}
+
+TEST(Engine, BeginsNoFurtherAttemptForACallerThatIsGone) {
+    Rig rig(2);
+    std::shared_ptr<Client> client;
+    rig.servers.fate = [&](AttemptId id) {
+        if (id.attempt == 0) rig.scheduler.call_at(TimePoint{Duration{5}}, [&] { client->left = true; });
+        return std::pair(Outcome::Full, 20.0);
+    };
+    client = rig.ask(0, 500);
+    rig.run_to(400);
+    EXPECT_EQ(rig.servers.started, 1);
+    EXPECT_EQ(client->heard, 0);
+    EXPECT_EQ(rig.engine.open_requests(), 0u);
+    EXPECT_EQ(rig.engine.held_requests(), 0u);
+}
+
+TEST(Engine, SaysOfEachAttemptWhetherItIsStillWanted) {
+    Rig rig(2);
+    rig.servers.fate = [](AttemptId) { return std::pair(Outcome::Ok, 50.0); };
+    auto stays = rig.ask(0, 500), leaves = rig.ask(0, 500);
+    rig.run_to(10);
+    EXPECT_EQ(rig.servers.started, 2);
+    leaves->left = true;
+    EXPECT_TRUE(rig.engine.wanted({rig.ids[0], 0}));
+    EXPECT_FALSE(rig.engine.wanted({rig.ids[1], 0}));
+    EXPECT_FALSE(rig.engine.wanted({99, 0}));
+    rig.run_to(400);
+    EXPECT_FALSE(rig.engine.wanted({rig.ids[0], 0})) << "answered";
+    EXPECT_EQ(leaves->heard, 0);
+    EXPECT_EQ(rig.engine.held_requests(), 0u);
+}
+
 TEST(Engine, AnswersOnceAndKeepsNothingWhateverComes) {
     for (std::uint64_t seed = 1; seed <= 60; ++seed) {
         Random random(seed);
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -169,6 +169,19 @@
         action);
 }
 
+// A client that has left may not have been read to its end yet. Nothing begins for it, and nothing is owed.
+bool Engine::still_wanted(Request& request) {
+    if (request.answered) return false;
+    if (!request.caller->gone()) return true;
+    depart(request.id);
+    return false;
+}
+
+bool Engine::wanted(AttemptId id) {
+    Request* request = find(id.request);
+    return request && still_wanted(*request);
+}
+
 void Engine::forward(const Forward& action) {
     Request* request = find(action.request);
     if (!request) return;
@@ -178,7 +191,7 @@
     attempt.server = action.server;
     attempt.sent = now;
     ++request->open;
-    if (request->answered || now >= request->give_up_at || action.limit.count() < 0) {
+    if (now >= request->give_up_at || action.limit.count() < 0 || !still_wanted(*request)) {
         end_attempt(id, {Outcome::Moot, {}, nullptr});
         return;
     }
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -44,6 +44,8 @@
     void sharers(int gateways, int me) { post(Sharers{gateways < 1 ? 1 : gateways, me}); }
     /// Where the module's count of avoided servers goes; may be null.
     void count_in(Counters* counters) { counters_ = counters; }
+    /// It is known and unanswered, and its caller is not gone; where that is, the request departs.
+    bool wanted(AttemptId id) override;
     void attempt_ended(AttemptId id, AttemptResult result) override;
     void probe_ended(ServerId server, Duration elapsed, Outcome outcome, LoadReport report) override;
 
@@ -78,6 +80,7 @@
     void drain();
     void carry_out(const Action& action);
     void forward(const Forward& action);
+    bool still_wanted(Request& request);
     void limit(Request& request);
     void attempt_late(AttemptId id);
     void end_attempt(AttemptId id, AttemptResult result);
--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -262,6 +262,22 @@
     if (!upload_) watch_client();
 }
 
+bool ClientSession::gone() {
+    if (state_ == State::Closed) return true;
+    if (state_ != State::Waiting || !http::gone(socket_.native_handle())) return false;
+    // Later: whoever asks is in the midst of what a close would call off.
+    asio::post(front_.io(), [self = shared_from_this(), request = request_] {
+        if (self->state_ == State::Waiting && self->request_ == request) self->close();
+    });
+    return true;
+}
+
+// A full buffer is not read on, and so no end shows behind it.
+void ClientSession::look_after() {
+    bool unwatched = upload_ ? upload_full_ : unread_ && unread_.room() == 0;
+    if (state_ == State::Waiting && unwatched) (void)gone();
+}
+
 // Here and not where attempts start: each of them sends the same.
 void ClientSession::rewrite(HttpMessage& request, int class_index) {
     class_name_ = front_.class_name(class_index);
@@ -274,7 +290,7 @@
 }
 
 // A client that closes its connection has gone away. What it sends on before that is kept, so that its close
-// shows behind it; one that fills the buffer is read no further and unwatched till it is answered.
+// shows behind it; one that fills the buffer is read no further till it is answered, and only looked after.
 void ClientSession::watch_client() {
     socket_.async_wait(
         asio::ip::tcp::socket::wait_read, [self = shared_from_this(), watch = ++watch_](error_code error) {
--- a/src/http/client_session.h
+++ b/src/http/client_session.h
@@ -22,12 +22,16 @@
 
     void start(Front::Table::Place place);
     void answer(Reply reply) override;
+    /// Also where its end lies behind bytes that nobody has read. It closes then, once its caller is through.
+    bool gone() override;
 
     /// Nothing is lost if it is closed now: between requests with nothing unread, a request not yet whole, or
     /// only waiting for the client's close.
     bool spare();
     void close();
     Steady::duration stood() const { return Steady::now() - since_; }
+    /// Its request is decided on, and nothing tells of its client's close: looks for it.
+    void look_after();
     /// It has stood for longer than it may.
     bool late() const;
     void time_out();
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -151,6 +151,7 @@
     std::vector<std::shared_ptr<ClientSession>> late;
     sessions_.each([&](const auto& session) {
         if (session->late()) late.push_back(session);
+        session->look_after();
     });
     for (const auto& session : late) session->time_out();
     if (auto change = door_.look(engine_.now())) tell(*change);
--- a/src/http/receive.cpp
+++ b/src/http/receive.cpp
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <time.h>
 
@@ -19,6 +20,12 @@
 
 constexpr Duration kTick{10};  // of the kernel's own count of milliseconds, at worst
 
+/// By the kernel's own state of it, unread bytes or not. Where that is not told, nothing is known.
+bool closed_by_peer(const tcp_info& info) {
+    return info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE || info.tcpi_state == TCP_LAST_ACK ||
+           info.tcpi_state == TCP_CLOSING;
+}
+
 }  // namespace
 
 void hand_down(boost::asio::ip::tcp::acceptor& acceptor) {
@@ -38,10 +45,15 @@
     return accepted;
 }
 
+// Two ways, as some hosts' sockets know only one of them. One that fails or says nothing counts for nothing.
 bool gone(int socket) {
+    pollfd seen{socket, POLLRDHUP, 0};
+    if (poll(&seen, 1, 0) == 1 && (seen.revents & POLLNVAL) == 0 &&
+        (seen.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0)
+        return true;
     tcp_info info{};
     socklen_t size = sizeof info;
-    return getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 && info.tcpi_state != TCP_ESTABLISHED;
+    return getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 && closed_by_peer(info);
 }
 
 Received receive(boost::asio::ip::tcp::socket& socket, char* into, std::size_t room) {
@@ -78,7 +90,7 @@
     tcp_info info{};
     socklen_t size = sizeof info;
     if (getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return {};
-    return {info.tcpi_state != TCP_ESTABLISHED, std::min(stamped, Duration(info.tcpi_last_data_recv) + kTick)};
+    return {closed_by_peer(info), std::min(stamped, Duration(info.tcpi_last_data_recv) + kTick)};
 }
 
 }  // namespace ochrehub::http
--- a/src/http/receive.h
+++ b/src/http/receive.h
@@ -13,7 +13,8 @@
 void hand_down(boost::asio::ip::tcp::acceptor& acceptor);
 /// The next connection; would_block where there is none.
 int accept_one(boost::asio::ip::tcp::acceptor& acceptor, boost::system::error_code& error);
-/// Its far side has closed.
+/// Its far side has closed or reset it, also where bytes before that are still unread. Never waits; false where the
+/// kernel does not say.
 bool gone(int socket);
 
 struct Received {
