Say that there are servers only once a list had one that is ready

Any entry made the node ready, also where every server of the list drained or was gone. Now it is one with Phase::Ready; once said, it stays said.

--- a/lab/tests/engine_test.cpp
+++ b/lab/tests/engine_test.cpp
@@ -202,6 +202,26 @@
     EXPECT_EQ(rig.engine.held_requests(), 0u);
 }
 
+// A list of servers that drain or are gone serves nobody.
+TEST(Engine, HasServersOnceOneIsReady) {
+    Rig rig(0);
+    Listing listing;
+    for (Phase phase : {Phase::Draining, Phase::Gone}) {
+        ListEntry& entry = listing.update.entries.emplace_back();
+        entry.server = ServerId(listing.addresses.size() + 1);
+        entry.phase = phase;
+        listing.addresses.emplace_back();
+    }
+    rig.engine.listed(listing);
+    EXPECT_FALSE(rig.engine.has_servers());
+    listing.update.entries[0].phase = Phase::Ready;
+    rig.engine.listed(listing);
+    EXPECT_TRUE(rig.engine.has_servers());
+    listing.update.entries[0].phase = Phase::Draining;
+    rig.engine.listed(listing);
+    EXPECT_TRUE(rig.engine.has_servers()) << "what has begun to serve stays in service";
+}
+
 TEST(Engine, AnswersOnceAndKeepsNothingWhateverComes) {
     for (std::uint64_t seed = 1; seed <= 60; ++seed) {
         Random random(seed);
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -84,7 +84,9 @@
 
 void Engine::listed(const Listing& listing) {
     upstream_->servers(listing);
-    has_servers_ = has_servers_ || !listing.update.entries.empty();
+    const auto& entries = listing.update.entries;
+    auto ready = [](const ListEntry& entry) { return entry.phase == Phase::Ready; };
+    has_servers_ = has_servers_ || std::any_of(entries.begin(), entries.end(), ready);
     post(listing.update);
 }
 
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -53,6 +53,7 @@
     std::size_t open_requests() const { return unanswered_; }
     /// Those whose messages are still held: unanswered, or with an attempt that has not ended.
     std::size_t held_requests() const { return requests_.size(); }
+    /// There has been a list with a server that is ready.
     bool has_servers() const { return has_servers_; }
 
 private:
