Set TCP_NODELAY on each accepted connection, the second address's too

It was set on the listener alone, and connections had it from there. One that had come before this process set it on an inherited listener had not, and the second address's had it never: small writes could be held back, and are lost with a close over unread bytes.

--- a/src/admin/desk.cpp
+++ b/src/admin/desk.cpp
@@ -128,6 +128,8 @@
 void Desk::accept() {
     acceptor_.async_accept([this](error_code error, asio::ip::tcp::socket socket) {
         if (!error) {
+            error_code ignored;
+            socket.set_option(asio::ip::tcp::no_delay(true), ignored);
             make_room();
             visits_.push_back(std::make_shared<Visit>(std::move(socket), *this, io_));
             std::shared_ptr<Visit> visit = visits_.back();
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -134,6 +134,8 @@
 void Front::take(asio::ip::tcp::socket socket) {
     bool over = sessions_.over();
     door_.connection_opened(engine_.now());
+    error_code ignored;  // one that came before this process had the listener has nothing of it
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     auto session = std::make_shared<ClientSession>(std::move(socket), *this, over, ++connections_);
     session->start(sessions_.enter(session));
 }
--- a/src/http/receive.cpp
+++ b/src/http/receive.cpp
@@ -31,7 +31,6 @@
 void hand_down(boost::asio::ip::tcp::acceptor& acceptor) {
     int on = 1;  // a kernel that cannot leaves the age unknown
     (void)setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_TIMESTAMPNS, &on, sizeof on);
-    (void)setsockopt(acceptor.native_handle(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     error_code ignored;
     acceptor.native_non_blocking(true, ignored);
 }
--- a/src/http/receive.h
+++ b/src/http/receive.h
@@ -9,7 +9,7 @@
 namespace ochrehub::http {
 
 /// Sets on a listener, before it listens, what its connections then have from it: bytes are stamped as they come, also
-/// those of connections that nobody has accepted yet, and answers are sent without delay.
+/// those of connections that nobody has accepted yet.
 void hand_down(boost::asio::ip::tcp::acceptor& acceptor);
 /// The next connection; would_block where there is none.
 int accept_one(boost::asio::ip::tcp::acceptor& acceptor, boost::system::error_code& error);
