End resting connections in order while the node stops, and each end behind its answer

After SIGTERM resting connections stayed open till the process exited: clients could go on sending on them, which held the node and left the last requests to the exit, and connections whose clients had yet to close were cut by it.

- from 0.45 s after SIGTERM, when new connections have ceased, what rests with nothing unread is shut for writing, read to its end within the linger's bound, and closed; the process waits for these, and for connections not yet accepted, till the longest deadline + 0.5 s, when half sent requests are told 408;
- requests read behind the one in hand are served before the connection ends, till 0.45 s;
- a connection that stood idle for too long ends in the same order instead of by a bare close;
- lingering goes on past 1 s, to 10 s at most, while the client has not got all of its answer, and such a connection makes way for no other;
- an upload with a spoilt chunk is answered 400 (too long: 413), one that stops coming 408; both were closed unanswered.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -41,6 +41,9 @@
 
 constexpr std::chrono::milliseconds kDrainLeast{700};  // clients still come for a while
 constexpr std::chrono::milliseconds kDrainLook{20};
+// From then on connections that rest are ended: clients open new ones, and find another node, for up to 0.4 s longer.
+// Before, they would come back here; later, they would send on what stays open till this process is killed.
+constexpr std::chrono::milliseconds kRestEnds{450};
 // Beside a process that has taken over: the platform kills what is left after the longest deadline and 0.7 s.
 constexpr std::chrono::milliseconds kStopLate{500};
 constexpr Duration kDeadlineMost{3000};
@@ -364,10 +367,13 @@
     std::function<void()> end_when_quiet = [&] {
         auto since = std::chrono::steady_clock::now() - stopped_at;
         bool waited = since >= kDrainLeast, answered = engine.open_requests() == 0;
+        bool late = since >= stop_most;
+        if (since >= kRestEnds) front->end_resting();
+        if (late) front->end_half_sent();
         // Whoever took over has the listener: what stays is connections, which their clients may use once
-        // more.
-        bool over = config.inherited ? (answered && front->empty()) || since >= stop_most
-                                     : waited && answered && front->quiet();
+        // more. Else those are waited for, too, whose clients have yet to close, as long as there is time.
+        bool over = config.inherited ? (answered && front->empty()) || late
+                                     : waited && answered && (late || front->empty()) && front->quiet();
         if (over) return io.stop();
         look.expires_after(kDrainLook);
         look.async_wait([&](boost::system::error_code) { end_when_quiet(); });
--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -21,6 +21,7 @@
 constexpr std::chrono::seconds kLingerMost{1};
 constexpr std::chrono::seconds kUploadLingerMost{10};  // a long body goes on coming while its client hears of the answer
 constexpr std::chrono::milliseconds kPieceMost{2500};  // between two pieces of a long body
+constexpr std::chrono::milliseconds kFirstMost{100};   // a new connection's request may still be on its way
 constexpr double kSlowest = 32;                        // bytes a millisecond of a short one, once its head is there
 std::string retry_after(Duration back) {
     if (back.count() <= 0) return {};
@@ -193,7 +194,9 @@
         }
         if (bad == boost::beast::http::error::need_more && unread_.room() > 0) return true;
         if (bad) {
-            close();
+            call_off();
+            close_after_ = true;
+            reject(bad == boost::beast::http::error::body_limit ? 413 : 400);
             return false;
         }
         if (parser_->is_done()) {
@@ -310,6 +313,20 @@
         });
 }
 
+/// The request goes on for nobody, its client's connection or not.
+void ClientSession::call_off() {
+    if (!trace_.empty()) front_.release(trace_);
+    front_.engine().depart(request_);
+    TimePoint now = front_.engine().now();
+    front_.door().leave(now, knock_, false, now - entered_);
+}
+
+/// The answer in hand ends the connection. A node that stops ends each behind its answer; what it has read of a next
+/// request would be lost with it, so that has its turn first, as long as there is time.
+bool ClientSession::last() const {
+    return close_after_ || (front_.draining() && (front_.ending() || unread_.view().empty()));
+}
+
 void ClientSession::answer(Reply reply) {
     if (state_ != State::Waiting) return;
     error_code ignored;
@@ -327,17 +344,17 @@
     int status = message->status;
     bool until_close = message->rest && !message->length && http_1_0_;
     if (until_close || upload_) close_after_ = true;
-    bool last = close_after_ || front_.draining();
+    close_after_ = last();
     std::optional<std::uint64_t> length = message->body_view().size();
     if (message->rest) length = message->length;
     if (status == 204 || status == 304)
         length.reset();
     else if (head_only_)  // how long the body would have been, where the server says so
         length = read_number<std::uint64_t>(message->header("Content-Length"));
-    std::string head = answer_head(status, length, last);
+    std::string head = answer_head(status, length, close_after_);
     bool chunked = message->rest && !length && !until_close;
     if (chunked) put_header(head, "Transfer-Encoding", "chunked");
-    if (http_1_0_ && !last) put_header(head, "Connection", "keep-alive");
+    if (http_1_0_ && !close_after_) put_header(head, "Connection", "keep-alive");
     auto is_report = [](const auto& header) { return same_name(header.first, "Endpoint-Load-Metrics"); };
     Headers headers;
     std::remove_copy_if(message->headers.begin(), message->headers.end(), std::back_inserter(headers),
@@ -354,9 +371,9 @@
 
 /// An answer of the node's own, without a body.
 void ClientSession::reject(int status, const std::string& extra) {
-    close_after_ = close_after_ || bool(upload_);
-    std::string head = answer_head(status, 0, close_after_ || front_.draining());
-    if (http_1_0_ && !close_after_ && !front_.draining()) put_header(head, "Connection", "keep-alive");
+    close_after_ = last() || bool(upload_);
+    std::string head = answer_head(status, 0, close_after_);
+    if (http_1_0_ && !close_after_) put_header(head, "Connection", "keep-alive");
     respond(status, head + extra + "\r\n", nullptr, false);
 }
 
@@ -374,7 +391,6 @@
         std::exchange(upload_, nullptr)->break_off();
         long_linger_ = true;
     }
-    close_after_ = close_after_ || front_.draining();
     outgoing_.set(std::move(head), std::move(body), chunked);
     enter(State::Writing);
     write();
@@ -480,7 +496,7 @@
 }
 
 bool ClientSession::spare() {
-    if (state_ == State::Lingering) return true;
+    if (state_ == State::Lingering) return !owes(socket_.native_handle());
     return state_ == State::Reading && ((begun_ && first_) || (!begun_ && !unread_in_socket()));
 }
 
@@ -496,15 +512,21 @@
     outgoing_.clear();
     if (figured_) front_.figures().left(*figured_);
     figured_.reset();
-    if (owed) {
-        if (!trace_.empty()) front_.release(trace_);
-        front_.engine().depart(request_);
-        TimePoint now = front_.engine().now();
-        front_.door().leave(now, knock_, false, now - entered_);
-    }
+    if (owed) call_off();
     front_.closed(place_, standing_);
 }
 
+void ClientSession::end_rest() {
+    if (state_ != State::Reading || begun_ || (first_ && stood() < kFirstMost) || unread_in_socket()) return;
+    linger();
+}
+
+void ClientSession::end_half_sent() {
+    if (state_ != State::Reading || !begun_) return;
+    close_after_ = true;
+    reject_unread(408);
+}
+
 bool ClientSession::late() const {
     if (state_ == State::Waiting) return upload_ && !upload_full_ && Steady::now() - heard_ > kPieceMost;
     auto most = [this]() -> Steady::duration {
@@ -521,9 +543,16 @@
 
 void ClientSession::time_out() {
     if (!late() || (state_ == State::Reading && !begun_ && unread_in_socket())) return;
-    if (state_ != State::Reading || !begun_) return close();
-    close_after_ = true;
-    reject_unread(408);
+    if (state_ == State::Reading && !begun_) return linger();
+    if (state_ == State::Reading) return end_half_sent();
+    if (state_ == State::Waiting) {
+        call_off();
+        close_after_ = true;
+        return reject(408);
+    }
+    // A close resets a client that goes on sending, and what it has not got of its answer goes with it.
+    bool cuts = state_ == State::Lingering && stood() <= kUploadLingerMost && owes(socket_.native_handle());
+    if (!cuts) close();
 }
 
 }  // namespace ochrehub::http
--- a/src/http/client_session.h
+++ b/src/http/client_session.h
@@ -29,6 +29,10 @@
     /// only waiting for the client's close.
     bool spare();
     void close();
+    /// Ends it gracefully if it stands between requests with nothing unread.
+    void end_rest();
+    /// Answers a request that is not whole yet.
+    void end_half_sent();
     Steady::duration stood() const { return Steady::now() - since_; }
     /// Its request is decided on, and nothing tells of its client's close: looks for it.
     void look_after();
@@ -55,6 +59,8 @@
     void end_upload();
     void rewrite(HttpMessage& request, int class_index);
     void watch_client();
+    void call_off();
+    bool last() const;
     void refuse(Duration back);
     void reject(int status, const std::string& extra = {});
     void reject_unread(int status, const std::string& extra = {});
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -1,5 +1,6 @@
 #include "http/front.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -77,6 +78,20 @@
     acceptor_.close(ignored);  // never shut down: it is the other process's too
 }
 
+void Front::end_resting() {
+    ending_ = true;
+    std::vector<std::shared_ptr<ClientSession>> resting;  // each that ends moves
+    for (Standing standing : {Standing::Silent, Standing::Once, Standing::Idle})
+        for (const auto& session : sessions_.standing(standing)) resting.push_back(session);
+    for (const auto& session : resting) session->end_rest();
+}
+
+void Front::end_half_sent() {
+    std::vector<std::shared_ptr<ClientSession>> all;
+    sessions_.each([&](const auto& session) { all.push_back(session); });
+    for (const auto& session : all) session->end_half_sent();
+}
+
 void Front::keep_to(DescriptorBudget budget) {
     sessions_.keep_to(budget);
     accept();
@@ -202,13 +217,19 @@
          {"tenant_percent", percent(why.grew)}});
 }
 
+bool Front::awaited() {
+    if (!open_ || !acceptor_.is_open()) return false;
+    pollfd waiting{acceptor_.native_handle(), POLLIN, 0};
+    return poll(&waiting, 1, 0) == 1;
+}
+
 bool Front::quiet() {
     auto spare = [](const auto& session) { return session->spare(); };
     auto all_spare = [&](Standing standing) {
         const auto& some = sessions_.standing(standing);
         return std::all_of(some.begin(), some.end(), spare);
     };
-    return sessions_.standing(Standing::Starting).empty() && sessions_.standing(Standing::Busy).empty() &&
+    return !awaited() && sessions_.standing(Standing::Starting).empty() && sessions_.standing(Standing::Busy).empty() &&
            all_spare(Standing::Silent) && all_spare(Standing::Once) && all_spare(Standing::Idle);
 }
 
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -43,10 +43,18 @@
     /// too: whatever waits there is theirs.
     void drain();
     bool draining() const { return draining_; }
+    /// Ends connections that rest; called again and again, it ends each as it comes to rest. From the first call on no
+    /// request that has been read behind another keeps its connection.
+    void end_resting();
+    /// Answers what is only half there: its time is over.
+    void end_half_sent();
     /// A request that came now would be served, as far as servers are.
     bool serves() const { return open_ && !draining_ && engine_.has_servers(); }
-    /// Nothing is being read, decided or written, nor lies unread in a connection.
+    bool ending() const { return ending_; }
+    /// Nothing is being read, decided or written, nor lies unread in a connection or waits to be accepted.
     bool quiet();
+    /// Connections wait to be accepted.
+    bool awaited();
     /// No client is connected.
     bool empty() const { return sessions_.held() == 0; }
     /// Holds no more descriptors than this from now on.
@@ -117,7 +125,7 @@
     bool accepting_ = false;
     int read_ = 0;        // requests since connections were last accepted
     bool stood_ = false;  // the queue, when the listener was last told
-    bool draining_ = false;
+    bool draining_ = false, ending_ = false;
 };
 
 }  // namespace ochrehub::http
--- a/src/http/receive.cpp
+++ b/src/http/receive.cpp
@@ -2,7 +2,9 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <time.h>
 
@@ -55,6 +57,11 @@
     return getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 && closed_by_peer(info);
 }
 
+bool owes(int socket) {
+    int unacknowledged = 0;
+    return ioctl(socket, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0;
+}
+
 Received receive(boost::asio::ip::tcp::socket& socket, char* into, std::size_t room) {
     iovec bytes{into, room};
     alignas(cmsghdr) char control[64];
