--- a/tests/endings_clients_run.cpp
+++ b/tests/endings_clients_run.cpp
@@ -148,12 +148,24 @@
         assert(getpeername(fd, reinterpret_cast<sockaddr*>(&theirs), &size) == 0);
         key_ = hex(theirs) + " " + hex(mine) + " ";
     }
+    unsigned long unread() const {
+        unsigned long here = 0;
+        until([&here](unsigned, unsigned long unread) {
+            here = unread;
+            return true;
+        });
+        return here;
+    }
     void until_unread() const {
         until([](unsigned, unsigned long unread) { return unread > 0; });
     }
     void until_read() const {
         until([](unsigned, unsigned long unread) { return unread == 0; });
     }
+    /// The node has ended it, though what it wrote may not be here yet.
+    void until_left() const {
+        until([](unsigned state, unsigned long) { return state != TCP_ESTABLISHED; });
+    }
     /// The end is there, and so is all before it.
     void until_ended() const {
         until([](unsigned state, unsigned long) { return state == TCP_CLOSE_WAIT || state == TCP_CLOSE; });
@@ -190,6 +202,13 @@
     return got > 0 ? 1 : int(got);
 }
 
+/// A reset behind an end shows here alone: reads go on saying that it ended.
+bool was_reset(int fd) {
+    int error = 0;
+    socklen_t size = sizeof error;
+    return getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0;
+}
+
 enum class Leave { Fin, Rst, Cancel };
 constexpr Leave kLeaves[] = {Leave::Fin, Leave::Rst, Leave::Cancel};
 
@@ -475,8 +494,64 @@
     row("stopped_upload", "answered 408");
 }
 
+/// Its server takes no more of its body, so that nothing more is read, and it leaves.
+void end_of_a_stuck_upload(const char* program, const char* config) {
+    World world;
+    Listener slow;
+    Setup setup = world.setup(config, {{"$a", slow.address}}, false);
+    Node node;
+    node.start(program, -1);
+    int watch = accept4(world.discovery.fd, nullptr, nullptr, SOCK_CLOEXEC);
+    std::string behind;
+    assert(read_head(watch, behind).starts_with("GET /v1/servers"));
+    std::string list = "{\"revision\":42,\"complete\":true,\"members\":[" + World::member("s-a", slow) + "]}";
+    put(watch, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list);
+    node.until_ready();
+    double worst = 0;
+    for (Leave how : kLeaves) {
+        int fd = world.connect();
+        put(fd, "POST /buy HTTP/1.1\r\nHost: n\r\nX-Trace-Id: " + std::to_string(next_id++) +
+                    "\r\nContent-Length: 30000000\r\n\r\n");
+        const std::string piece(16384, 'p');
+        put(fd, piece);
+        int server = accept4(slow.fd, nullptr, nullptr, SOCK_CLOEXEC);
+        Far client(fd), far(server);
+        // Till the node leaves something unread for a while: all before it is full. Not till this side's system is
+        // full as well, as the end could not get through then.
+        for (Steady::time_point read = Steady::now(); ms_since(read) < 200; usleep(500)) {
+            if (client.unread() > 0) continue;
+            put(fd, piece);
+            read = Steady::now();
+        }
+        leave(fd, how);
+        Steady::time_point left = Steady::now();
+        far.until_left();
+        worst = std::max(worst, ms_since(left));
+        end(fd);
+        close(server);
+    }
+    std::printf("%-28s called off %.0f ms after the end\n", "end_of_a_stuck_upload", worst);
+    assert(worst < 2000);
+    close(watch);
+    node.stop();
+}
+
 // ---- Lingering
 
+/// A request that crosses the end of a connection that stood idle for too long goes nowhere, and resets nothing.
+void idle_ends_in_order(World& world, const Node&) {
+    int fd = world.connect();
+    assert(ask(fd, get(next_id++)).starts_with("HTTP/1.1 200"));
+    assert(next_byte(fd) == 0);
+    long id = next_id++;
+    put(fd, get(id));
+    assert(next_byte(fd) == 0 && !was_reset(fd));
+    close(fd);
+    world.settle();
+    assert(!world.servers.begun(id));
+    row("idle_ends_in_order", "a request behind the end was not sent on, and nothing reset");
+}
+
 /// It hears that its connection ends, and sends on for ever.
 void sends_for_ever(World& world, const Node&) {
     int fd = world.connect();
@@ -509,6 +584,59 @@
     row("sends_on_before_it_reads", "its answer came whole after 1.5 s");
 }
 
+// ---- Floods
+
+/// Clients that send much at once and go.
+void flood_and_go(World& world, const Node& node) {
+    for (int round = 0; round < 3; ++round) {
+        std::vector<int> flood;
+        for (int i = 0; i < 40; ++i) {
+            int fd = world.connect();
+            flood.push_back(fd);
+            std::string all;
+            for (int k = 0; k < 1000; ++k) all += get(next_id++);
+            ssize_t sent = send(fd, all.data(), all.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+            assert(sent > 0);
+        }
+        for (std::size_t i = 0; i < flood.size(); ++i) leave(flood[i], kLeaves[i % 3]);
+        for (int& fd : flood) end(fd);
+    }
+    world.until_idle(node);
+    world.settle();
+    std::printf("%-28s 120 left, nothing of them open, others served; most memory %.1f MB\n", "flood_and_go",
+                node.peak_mb());
+}
+
+/// Clients that never read their answer.
+void never_reads(World& world, const Node& node) {
+    std::vector<int> deaf;
+    std::vector<Far> far;
+    for (int i = 0; i < 5; ++i) {
+        int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), small = 2048;
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+        assert(connect(fd, reinterpret_cast<const sockaddr*>(&world.clients.at), sizeof world.clients.at) == 0);
+        far.emplace_back(fd);
+        deaf.push_back(fd);
+        put(fd, "GET /healthz HTTP/1.1\r\nHost: n\r\n\r\n");
+    }
+    Steady::time_point began = Steady::now();
+    const std::string many = [] {
+        std::string all;
+        for (int k = 0; k < 20000; ++k) all += "GET /healthz HTTP/1.1\r\nHost: n\r\n\r\n";
+        return all;
+    }();
+    for (int fd : deaf)  // more answers than the two systems hold
+        while (send(fd, many.data(), many.size(), MSG_NOSIGNAL | MSG_DONTWAIT) > 0) {
+        }
+    for (const Far& side : far) side.until_ended();
+    double took = ms_since(began);
+    world.settle();
+    world.until_idle(node);
+    std::printf("%-28s 5 of 5 ended after %.0f ms, others served\n", "never_reads", took);
+    for (int fd : deaf) close(fd);
+    assert(took < 20000);
+}
+
 // ---- A node that stops
 
 struct Stopping {
@@ -550,7 +678,7 @@
     for (int fd : resting) {
         late.push_back(next_id++);
         put(fd, get(late.back()));
-        assert(next_byte(fd) == 0);
+        assert(next_byte(fd) == 0 && !was_reset(fd));
     }
     double held = ms_since(stopping.at);
     for (int fd : resting) close(fd);
@@ -645,6 +773,53 @@
     assert(lost == 0 && latest < 1000 && took < 2500);
 }
 
+/// A connection comes, with its request, in the moment in which the process could end.
+void drain_meets_a_connection(const char* program, const char* config) {
+    World world;
+    Setup setup = world.setup(config);
+    Node node;
+    node.start(program, -1);
+    node.until_ready();
+    Stopping stopping(node);
+    while (ms_since(stopping.at) < 600) usleep(1000);
+    halt(node);
+    int fd = world.connect();
+    put(fd, get(next_id++));
+    while (ms_since(stopping.at) < 800) usleep(1000);
+    go_on(node);
+    std::string behind, head = read_head(fd, behind);
+    assert(head.starts_with("HTTP/1.1 200") && head.find("Connection: close") != std::string::npos);
+    close(fd);
+    double took = stopping.until_over(node);
+    std::printf("%-28s answered whole; over at %.0f ms\n", "drain_meets_a_connection", took);
+}
+
+/// Another process has the listener: connections that rest are ended all the same, and this one is over with the last.
+void drain_handed_down(const char* program, const char* config) {
+    World world;
+    Listener clients;
+    world.clients = clients;
+    Setup setup = world.setup(config);
+    setenv("GW_FD", "7", 1);
+    Node node;
+    node.start(program, clients.fd);
+    node.until_ready();
+    std::vector<int> resting;
+    for (int i = 0; i < 10; ++i) {
+        resting.push_back(world.connect());
+        assert(ask(resting.back(), get(next_id++)).starts_with("HTTP/1.1 200"));
+    }
+    Stopping stopping(node);
+    for (int fd : resting) assert(next_byte(fd) == 0);
+    double shut = ms_since(stopping.at);
+    for (int fd : resting) close(fd);
+    double took = stopping.until_over(node);
+    std::printf("%-28s shut at %.0f ms, over at %.0f ms\n", "drain_handed_down", shut, took);
+    assert(shut >= 450 && shut < 1500);
+    unsetenv("GW_FD");
+    close(clients.fd);
+}
+
 /// What was read behind the request in hand has its turn before the connection ends.
 void drain_meets_pipelined(const char* program, const char* config) {
     World world;
@@ -872,12 +1047,17 @@
         {{"spoilt_upload", spoilt_upload, {}},
          {"stopped_upload", stopped_upload, {}},
          {"sends_for_ever", sends_for_ever, {}},
-         {"sends_on_before_it_reads", sends_on_before_it_reads, {}}},
+         {"sends_on_before_it_reads", sends_on_before_it_reads, {}},
+         {"idle_ends_in_order", idle_ends_in_order, {}},
+         {"flood_and_go", flood_and_go, {}}},
+        {{"never_reads", never_reads, {}}},
         {{"end_in_the_queue", {}, end_in_the_queue},
          {"drain_of_resting", {}, drain_of_resting},
          {"drain_meets_a_request", {}, drain_meets_a_request},
          {"drain_under_senders", {}, drain_under_senders},
+         {"drain_meets_a_connection", {}, drain_meets_a_connection},
          {"drain_meets_pipelined", {}, drain_meets_pipelined}},
+        {{"end_of_a_stuck_upload", {}, end_of_a_stuck_upload}, {"drain_handed_down", {}, drain_handed_down}},
         {{"drain_of_half_heads", {}, drain_of_half_heads},
          {"drain_before_the_list", {}, drain_before_the_list},
          {"readiness", {}, readiness_needs_a_ready_server},
