--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -44,6 +44,8 @@
     void sharers(int gateways, int me) { post(Sharers{gateways < 1 ? 1 : gateways, me}); }
     /// Where the module's count of avoided servers goes; may be null.
     void count_in(Counters* counters) { counters_ = counters; }
+    /// It is known and unanswered, and its caller is not gone; where that is, the request departs.
+    bool wanted(AttemptId id) override;
     void attempt_ended(AttemptId id, AttemptResult result) override;
     void probe_ended(ServerId server, Duration elapsed, Outcome outcome, LoadReport report) override;
 
@@ -51,6 +53,7 @@
     std::size_t open_requests() const { return unanswered_; }
     /// Those whose messages are still held: unanswered, or with an attempt that has not ended.
     std::size_t held_requests() const { return requests_.size(); }
+    /// There has been a list with a server that is ready.
     bool has_servers() const { return has_servers_; }
 
 private:
@@ -78,6 +81,7 @@
     void drain();
     void carry_out(const Action& action);
     void forward(const Forward& action);
+    bool still_wanted(Request& request);
     void limit(Request& request);
     void attempt_late(AttemptId id);
     void end_attempt(AttemptId id, AttemptResult result);
--- a/src/http/client_session.h
+++ b/src/http/client_session.h
@@ -22,12 +22,20 @@
 
     void start(Front::Table::Place place);
     void answer(Reply reply) override;
+    /// Also where its end lies behind bytes that nobody has read. It closes then, once its caller is through.
+    bool gone() override;
 
     /// Nothing is lost if it is closed now: between requests with nothing unread, a request not yet whole, or
     /// only waiting for the client's close.
     bool spare();
     void close();
+    /// Ends it gracefully if it stands between requests with nothing unread.
+    void end_rest();
+    /// Answers a request that is not whole yet.
+    void end_half_sent();
     Steady::duration stood() const { return Steady::now() - since_; }
+    /// Its request is decided on, and nothing tells of its client's close: looks for it.
+    void look_after();
     /// It has stood for longer than it may.
     bool late() const;
     void time_out();
@@ -51,6 +59,8 @@
     void end_upload();
     void rewrite(HttpMessage& request, int class_index);
     void watch_client();
+    void call_off();
+    bool last() const;
     void refuse(Duration back);
     void reject(int status, const std::string& extra = {});
     void reject_unread(int status, const std::string& extra = {});
--- a/src/http/receive.h
+++ b/src/http/receive.h
@@ -9,13 +9,17 @@
 namespace ochrehub::http {
 
 /// Sets on a listener, before it listens, what its connections then have from it: bytes are stamped as they come, also
-/// those of connections that nobody has accepted yet, and answers are sent without delay.
+/// those of connections that nobody has accepted yet.
 void hand_down(boost::asio::ip::tcp::acceptor& acceptor);
 /// The next connection; would_block where there is none.
 int accept_one(boost::asio::ip::tcp::acceptor& acceptor, boost::system::error_code& error);
-/// Its far side has closed.
+/// Its far side has closed or reset it, also where bytes before that are still unread. Never waits; false where the
+/// kernel does not say.
 bool gone(int socket);
 
+/// Bytes written to it, or its end, that the far side's system does not have yet; false where the kernel does not say.
+bool owes(int socket);
+
 struct Received {
     std::size_t bytes = 0;
     boost::system::error_code error;  ///< would_block, eof, ...
