Hold a repeat to its window where it is written, and looks to what they gain

The module now says with the attempt by when it must begin, and the engine's wanted() holds it to that, to the request's own time and to a client that is still there, once the connection is up. Cause 2: a request could cost four looks whatever one cost.

--- a/include/ochrehub/rules.h
+++ b/include/ochrehub/rules.h
@@ -167,6 +167,8 @@
     RequestId request;
     ServerId server;
     Duration limit;  ///< its own time-out; zero: until the client gives up
+    /// A repeat of what may have run: written by then or not at all, however late its connection comes up.
+    TimePoint begin_by = TimePoint::max();
 };
 struct Refuse {  ///< final answer: the client may safely try again, best after retry_after (zero: no advice)
     RequestId request;
--- a/lab/tests/engine_test.cpp
+++ b/lab/tests/engine_test.cpp
@@ -202,6 +202,22 @@
     EXPECT_EQ(rig.engine.held_requests(), 0u);
 }
 
+// A connection that comes up behind the window for a repeat carries it no more.
+TEST(Engine, WantsNoRepeatThatWouldBeWrittenBehindItsWindow) {
+    Rig rig(2);
+    rig.servers.fate = [](AttemptId id) {
+        return id.attempt == 0 ? std::pair(Outcome::Reset, 10.0) : std::pair(Outcome::Ok, 4000.0);
+    };
+    rig.ask(2, 5000);
+    std::vector<bool> wanted;
+    for (double ms : {1900.0, 2100.0})  // the first attempt was sent at 0, its window is 2000
+        rig.scheduler.call_at(TimePoint{Duration{ms}}, [&] { wanted.push_back(rig.engine.wanted({rig.ids[0], 1})); });
+    rig.run_to(2100);
+    EXPECT_EQ(rig.servers.started, 2);
+    EXPECT_EQ(wanted, (std::vector<bool>{true, false}));
+    EXPECT_FALSE(rig.engine.wanted({rig.ids[0], 2})) << "there is none";
+}
+
 // A list of servers that drain or are gone serves nobody.
 TEST(Engine, HasServersOnceOneIsReady) {
     Rig rig(0);
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -181,7 +181,9 @@
 
 bool Engine::wanted(AttemptId id) {
     Request* request = find(id.request);
-    return request && still_wanted(*request);
+    if (!request || std::size_t(id.attempt) >= request->attempts.size()) return false;
+    TimePoint by = std::min(request->give_up_at, request->attempts[std::size_t(id.attempt)].begin_by);
+    return (request->uploading || scheduler_.now() < by) && still_wanted(*request);
 }
 
 void Engine::forward(const Forward& action) {
@@ -192,6 +194,7 @@
     Attempt& attempt = request->attempts.emplace_back();
     attempt.server = action.server;
     attempt.sent = now;
+    attempt.begin_by = action.begin_by;
     ++request->open;
     if (now >= request->give_up_at || action.limit.count() < 0 || !still_wanted(*request)) {
         end_attempt(id, {Outcome::Moot, {}, nullptr});
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -44,7 +44,8 @@
     void sharers(int gateways, int me) { post(Sharers{gateways < 1 ? 1 : gateways, me}); }
     /// Where the module's count of avoided servers goes; may be null.
     void count_in(Counters* counters) { counters_ = counters; }
-    /// It is known and unanswered, and its caller is not gone; where that is, the request departs.
+    /// It may still be written: its request is unanswered, its time and the window for a repeat are not over, and its
+    /// caller is not gone; where that is, the request departs.
     bool wanted(AttemptId id) override;
     void attempt_ended(AttemptId id, AttemptResult result) override;
     void probe_ended(ServerId server, Duration elapsed, Outcome outcome, LoadReport report) override;
@@ -60,7 +61,7 @@
     std::function<void()> look_;
     struct Attempt {
         ServerId server = 0;
-        TimePoint sent{};
+        TimePoint sent{}, begin_by = TimePoint::max();
         TimerId limit = 0;
         bool ended = false;
     };
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -136,7 +136,7 @@
     int cls = 0, tenant = kNone;
     bool repeat = false, finished = false, queued = false, streaming = false, uploading = false;
     double worth = 1;
-    TimePoint arrived{}, give_up_at{}, useful_until{};
+    TimePoint arrived{}, give_up_at{}, useful_until{}, repeat_by = TimePoint::max();
     std::vector<Attempt> attempts;
     int open = 0, looks = 0;             // attempts that are out; probes sent on its behalf
     std::optional<std::size_t> awaited;  // the server whose look it waits for
@@ -175,8 +175,9 @@
         }
         mean_gain_ = set_.classes.empty() ? 1 : std::max(1e-9, gain / double(set_.classes.size()));
         tenants_.assign(set_.tenants.size(), {kBurst, TimePoint{}});
-        if (set_.probes && set_.probes_report_load)
-            looks_most_ = std::max(2 * int(kLookWidth), int(kLookSpend / std::max(set_.price_probe, 1e-4)));
+        double looks = kLookSpend / std::max(set_.price_probe, 1e-4);
+        bool told = set_.probes && set_.probes_report_load;  // ... and no dearer than what looks gain
+        looks_most_ = told && looks >= kLookWidth ? int(looks) : 0;
     }
 
     std::size_t avoided() const { return avoided_; }
@@ -543,7 +544,7 @@
     bool has_room(const Server& s) const {
         bool on_trial = !s.connected || s.silent > 1;  // one request, and one handshake, at a time
         double limit = (on_trial ? std::min(1.0, s.limit) : s.limit) * share(s);
-        if (limit >= 1 || (set_.probes_report_load && !doubted(s))) return s.own < std::max(1.0, limit);
+        if (limit >= 1 || (looks_most_ > 0 && !doubted(s))) return s.own < std::max(1.0, limit);
         Duration round = std::max(s.last_elapsed, Duration{floor_ms()});
         return s.own < 1 &&
                now_ - s.last_send >= std::min(kSpacingMost, round / std::max(limit, limit_min()));
@@ -596,7 +597,7 @@
 
     // ---- Pick
     // The one gate: rules 1 to 4 are kept here and nowhere else. Whatever picks, a send passes through it.
-    bool may_send(const Request& r, Server& s) {
+    bool may_send(Request& r, Server& s) {
         const ClassSettings& c = cls(r);
         if (r.finished || r.streaming || now_ >= r.give_up_at) return false;
         if (int(r.attempts.size()) >= set_.max_attempts) return false;
@@ -606,7 +607,8 @@
             if (a.fate == Fate::NeverRan || c.effect == Effect::Free) continue;
             if (c.effect == Effect::SingleShot) return false;
             const ListEntry& first = servers_[a.server].entry;
-            if (now_ - a.sent >= c.window - 2 * set_.granularity) return false;
+            r.repeat_by = std::min(r.repeat_by, a.sent + c.window - 2 * set_.granularity);
+            if (now_ >= r.repeat_by) return false;
             if (c.scope == Scope::Zone && first.zone != s.entry.zone) return false;
             if (c.scope == Scope::Cell && first.cell != s.entry.cell) return false;
         }
@@ -822,7 +824,8 @@
         ++r.open, ++s.own, ++s.refs;
         s.last_send = now_;
         if (share(s) < 1) s.cold_sends.emplace_back(now_, state(r).floor_ms);
-        emit(Forward{r.id, s.id, set_.cancel && !r.uploading ? r.useful_until - now_ : Duration{0}});
+        bool timed = set_.cancel && !r.uploading;
+        emit(Forward{r.id, s.id, timed ? r.useful_until - now_ : Duration{0}, r.repeat_by});
         if (!r.uploading) expect_answer(r, s);
     }
 
@@ -936,9 +939,7 @@
         conclude(r);
     }
 
-    void on(const StreamStarted& e) {
-        if (Request* r = find(e.request)) r->streaming = true;
-    }
+    void on(const StreamStarted& e) { if (Request* r = find(e.request)) r->streaming = true; }
     void on(const ClientGone& e) { find(e.request) ? conclude(*find(e.request)) : void(); }
 
     void conclude(Request& r) {  // it is over, one way or another: call off what is still out
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -760,6 +760,51 @@
     EXPECT_GT(sends[2], 2 * sends[1]);
 }
 
+// A request could always cost four looks, whatever one cost: on a site with dear probes they took a quarter of the result.
+TEST(Look, IsNotMadeWhereTwoCostMoreThanTheyGain) {
+    Settings set = looking();
+    set.price_probe = 0.05;
+    Gateway g(set);
+    g.list(0, {entry(1), entry(2)});
+    std::size_t looks = 0;
+    int served = 0;
+    for (RequestId i = 0; i < 100; ++i) {
+        double t = 3000 + 20 * double(i);
+        Actions actions = g.arrive(t, i);
+        for (const Probe& p : all_of<Probe>(actions)) {
+            ++looks;
+            for (const Action& a : g.probe(t + 1, p.server, Outcome::Ok, 0, 0)) actions.push_back(a);
+        }
+        auto to = sent_to(actions);
+        if (!to) continue;
+        ++served;
+        g.ok(t + 10, i, *to, 10);
+    }
+    EXPECT_LE(looks, 2u);
+    EXPECT_GE(served, 95);
+}
+
+// The window was looked at when the repeat was decided on alone: on a connection that came up late it arrived behind it.
+TEST(Attempts, ARepeatOfWhatMayHaveRunSaysByWhenItMustBeWritten) {
+    Settings set = unprobed();
+    set.classes[2].window = Duration{300};
+    set.granularity = Duration{2};
+    Gateway g(set);
+    g.list(0, {entry(1), entry(2)});
+    auto first = all_of<Forward>(g.arrive(100, 1, 2));
+    ASSERT_EQ(first.size(), 1u);
+    EXPECT_EQ(first[0].begin_by, TimePoint::max()) << "no repeat";
+    auto again = all_of<Forward>(g.end(150, 1, 0, first[0].server, Outcome::Reset));
+    ASSERT_EQ(again.size(), 1u);
+    EXPECT_EQ(again[0].begin_by, at(100 + 300 - 4));
+    g.end(155, 1, 1, again[0].server, Outcome::Ok, 5, true);
+    auto free = all_of<Forward>(g.arrive(160, 2, 0));
+    ASSERT_EQ(free.size(), 1u);
+    auto more = all_of<Forward>(g.end(170, 2, 0, free[0].server, Outcome::Reset));
+    ASSERT_EQ(more.size(), 1u);
+    EXPECT_EQ(more[0].begin_by, TimePoint::max()) << "may be repeated at any time";
+}
+
 TEST(Zones, ADearCrossingIsMadeOnlyWhenTimeRunsShort) {
     Settings set = unprobed();
     set.price_cross_zone = 0.2;
