Guard against a server's second answer that comes on a connection used again

A second answer that comes some milliseconds late would be taken for the next request's on its connection: a wrong body. Connections were used again at once, the most recently used one where none had rested for 1 ms.

Now: within 30 ms of an answer a connection is used again only if a new one would cost more than one further handshake for 32 requests; then the one that has rested longest, and its answer is doubted: too soon (less than half the shortest of 32 undoubted times), ahead of the request's last byte, or with more behind it, it is an Error, since the request may have run. Once a server has said what nobody asked for (at rest, ahead of an answer, behind one), for 5 minutes no connection is used sooner at all. Bytes that came before the request was written, by the kernel's stamp and however late they are read, are no answer to it, doubted or not. `wanted` is asked before anything is written.

Not covered: a copy later than 30 ms, and in a pool that has seen no sign of one, a copy on a doubted connection that comes later than half the shortest time.

Test: server_pool_test.cpp, all 8 pass; the exchanges pass as they were. Without a part of it, of these fail: the look at the stamp: ASecondCopyBetweenTheLookAndTheRequestIsNoAnswer ("one" was served, Ok for Error); the doubt: ADoubtedAnswerSoonerThanAnyCanBeIsNone and ADoubtedAnswerThatBringsASecondIsNone; the wariness: MoreThanAnAnswer... and WhatIsSaidAtRest...; the further handshakes and the order of rest: AConnectionThatHasNotRestedIsSparedForFewHandshakes; with the old choice of a connection 6 of 8.

--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -3,8 +3,11 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <sys/socket.h>
 #include <utility>
 
+#include "http/receive.h"
+
 namespace ochrehub::http {
 
 namespace asio = boost::asio;
@@ -17,6 +20,12 @@
 constexpr std::chrono::milliseconds kStreamMost{15000};  // no further byte of one that has been passed on in part
 constexpr std::chrono::milliseconds kDryRest{20};
 
+/// A kernel that cannot stamp leaves open when bytes came: then they came when they are read.
+void stamp(asio::ip::tcp::socket& socket) {
+    int on = 1;
+    (void)setsockopt(socket.native_handle(), SOL_SOCKET, SO_TIMESTAMPNS, &on, sizeof on);
+}
+
 }  // namespace
 
 Connection::Connection(asio::io_context& io, BufferPool& pool, const Endpoint& to, Duration connect_timeout,
@@ -47,6 +56,8 @@
     may_send_ = std::move(may_send);
     on_written_ = std::move(on_written);
     written_ = false;
+    unasked_ = heard_ = early_ = spoke_ = false;
+    asked_at_ = {};
     expect_answer();
     interims_ = 0;
     starting_ = true;
@@ -65,6 +76,7 @@
     socket_.open(to_.protocol(), error);
     if (!error) socket_.non_blocking(true, error);
     if (!error) socket_.set_option(asio::ip::tcp::no_delay(true), error);
+    if (!error) stamp(socket_);
     if (error) return finish(End::NotSent);  // no descriptor, say
     timer_.expires_after(std::chrono::duration_cast<Steady::duration>(connect_timeout_));
     timer_.async_wait([self = shared_from_this(), turn = turn_](error_code stopped) {
@@ -80,6 +92,7 @@
 
 void Connection::begin() {
     if (may_send_ && !may_send_()) return finish(End::NotSent, true);
+    asked_at_ = Steady::now();
     write();
 }
 
@@ -139,10 +152,12 @@
     // One buffer a turn: a server that never stops must not hold the loop.
     for (std::size_t read = 0; read < BufferPool::kSize;) {
         error_code error;
-        std::size_t got = 0;
         if (unread_.room() == 0) return finish(End::Garbage);
-        got = socket_.read_some(asio::buffer(unread_.free_space(), unread_.room()), error);
+        Received received = receive(socket_, unread_.free_space(), unread_.room());
+        error = received.error;
+        std::size_t got = received.bytes;
         if (error == asio::error::would_block) break;
+        if (!error && !heard_ && came_too_soon(received.age)) return finish(End::Garbage);
         bool ends_it = ends_whole_ || (parser_->is_header_done() && parser_->message_says_close());
         if (error == asio::error::eof && ends_it && parser_->is_header_done() && parser_->need_eof()) {
             error_code cut;
@@ -194,6 +209,8 @@
             !parser_->message_says_close())
             return ends(parser_->message().status == 200 ? End::Garbage : End::Answered);
         if (parser_->is_done()) {
+            bool interim = !stream_ && parser_->message().status >= 100 && parser_->message().status < 200;
+            unasked_ = unasked_ || (!interim && !unread_.view().empty());
             bool reusable = parser_->keep_alive() && unread_.view().empty() && written_;
             if (stream_) {
                 over = true;
@@ -206,12 +223,14 @@
             // without end.
             if (status == 101 || ++interims_ > kInterimMost) return ends(End::Garbage);
             timer_.cancel();
+            early_ = !written_;
             expect_answer();
             if (unread_.view().empty()) return true;
             began_at_ = Steady::now();
             continue;
         }
         if (stream_due()) {
+            if (may_be_other()) return ends(End::Garbage);
             std::uint64_t turn = turn_;
             begin_stream();
             if (turn != turn_) {  // nobody wants it
@@ -224,6 +243,22 @@
     }
 }
 
+/// What was there before the request cannot be its answer: by the kernel's stamp, however late it is read.
+bool Connection::came_too_soon(Duration age) {
+    heard_ = true;
+    early_ = !written_;
+    took_ = Duration{Steady::now() - asked_at_} - age;
+    unasked_ = took_ < (doubted_ ? soonest_ : Duration{0});
+    return unasked_;
+}
+
+/// A whole answer on a connection whose last one may have a second copy. One that never ran by its word, ahead of the
+/// request's last byte, is true whichever it is: the rest is not written any more.
+bool Connection::may_be_other() {
+    if (!doubted_) return false;
+    return unasked_ || (early_ && (written_ || parser_->message().status < 500));
+}
+
 // Not before something of the body is there: till then another server can still be asked.
 bool Connection::stream_due() const {
     if (!may_stream_ || stream_ || !parser_->is_header_done() || !parser_->body_begun()) return false;
@@ -241,6 +276,8 @@
     result.end = End::Answered;
     result.answer = parser_->take();
     result.streams = true;
+    result.unasked = unasked_;
+    result.took = took_;
     outgoing_.clear();
     tell(std::move(result));
 }
@@ -252,6 +289,9 @@
     unread_.release();
     timer_.cancel();
     parser_.reset();
+    answered_at_ = Steady::now();
+    spoke_ = unasked_;
+    may_stream_ = watched_ = doubted_ = false;
     if (!reusable) {
         error_code ignored;
         socket_.close(ignored);
@@ -269,6 +309,10 @@
 
 void Connection::finish(End end, bool reusable) {
     if (stream_) return end_stream(false, false);
+    if ((end == End::Answered || end == End::TooLarge) && may_be_other()) {
+        end = End::Garbage;
+        reusable = false;
+    }
     ++turn_;
     unread_.release();
     timer_.cancel();
@@ -279,12 +323,15 @@
     Result result;
     result.end = end;
     result.reusable = reusable;
+    result.unasked = unasked_;
+    result.took = took_;
+    if (end == End::Answered) answered_at_ = Steady::now();
     if (end == End::Answered || end == End::TooLarge) result.answer = parser_->take();
     parser_.reset();
     outgoing_.clear();
     may_send_ = nullptr;
     on_written_ = nullptr;
-    may_stream_ = watched_ = false;
+    may_stream_ = watched_ = doubted_ = false;
     if (!starting_) return tell(std::move(result));
     // Later: whoever started the exchange must not be called back from inside the call.
     asio::post(io_, [self = shared_from_this(), turn = turn_, result = std::move(result)]() mutable {
@@ -324,6 +371,7 @@
     socket_.async_wait(asio::ip::tcp::socket::wait_read,
                        [self = shared_from_this(), turn = turn_](error_code) {
                            if (turn != self->turn_) return;
+                           self->seen_closed();
                            std::function<void()> tell = std::move(self->lost_);
                            self->close();
                            if (tell) tell();
@@ -333,7 +381,7 @@
 bool Connection::seen_closed() {
     char byte = 0;
     error_code error;
-    socket_.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    spoke_ = socket_.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error) > 0;
     return error != asio::error::would_block;
 }
 
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -25,6 +25,8 @@
         End end = End::Broken;
         std::shared_ptr<HttpMessage> answer;  ///< of an Answered; the head of one TooLarge
         bool reusable = false;
+        bool unasked = false;  ///< the server has said what nobody asked for, ahead of the answer or behind it
+        Duration took{};       ///< from the request's first byte to the answer's; of an Answered
         bool streams = false;  ///< of an Answered: its rest is still coming, and when_streamed() tells of the end
     };
     /// The rest of an answer has come whole, or will not.
@@ -45,8 +47,14 @@
     /// called before this returns, and not after close().
     void exchange(std::string head, std::shared_ptr<const HttpMessage> request, Done done,
                   std::function<bool()> may_send = nullptr, std::function<void()> on_written = nullptr);
-    /// Answers to the next exchange may be longer than a buffer, `body_most` bytes or, where that is zero, any: one that a buffer does not hold is told once it has begun.
-    /// Else such a one is TooLarge.
+    /// Of the next exchange: a second copy of the answer before may still be on its way. What comes sooner than
+    /// `soonest` behind the request's first byte, or ahead of its last, or brings more than an answer, is taken for none.
+    void doubt(Duration soonest) {
+        doubted_ = true;
+        soonest_ = soonest;
+    }
+    /// Answers to the next exchange may be longer than a buffer, `body_most` bytes or, where that is zero, any: one
+    /// that a buffer does not hold is told once it has begun. Else such a one is TooLarge.
     void let_stream(std::uint64_t body_most) {
         may_stream_ = true;
         body_most_ = body_most;
@@ -62,6 +70,11 @@
     bool seen_closed();
 
     Steady::time_point rested_at() const { return rested_at_; }
+    /// When its last answer was whole; long ago where it has had none.
+    Steady::time_point answered_at() const { return answered_at_; }
+    /// At rest, or when it was last looked at, the far side had said what nobody asked for.
+    bool spoke() const { return spoke_; }
+    bool doubted() const { return doubted_; }
     bool written() const { return written_; }
     const Endpoint& to() const { return to_; }
 
@@ -79,6 +92,8 @@
     void end_stream(bool whole, bool reusable);
     void limit_answer();
     void expect_answer();
+    bool came_too_soon(Duration age);
+    bool may_be_other();
     void finish(End end, bool reusable = false);
     void tell(Result result);
 
@@ -100,6 +115,10 @@
     std::uint64_t body_most_ = 0;
     std::shared_ptr<BodyStream> stream_;  // the rest of an answer that has been told
     Steady::time_point began_at_{};       // when the answer's first byte came
+    Steady::time_point asked_at_{};       // just before the request's first byte was written
+    Steady::time_point answered_at_ = {};  // long ago
+    Duration soonest_{}, took_{};
+    bool doubted_ = false, unasked_ = false, heard_ = false, early_ = false, spoke_ = false;
     bool watched_ = false;                // for an answer, while the request is still being written
     bool written_ = false;
     std::optional<MessageParser<false>> parser_;
--- a/src/http/server_pool.cpp
+++ b/src/http/server_pool.cpp
@@ -17,9 +17,6 @@
 
 constexpr double kIdlePart = 0.85;  // of the time after which servers close an idle connection
 constexpr std::chrono::milliseconds kSweep{250};
-// A second copy right behind an answer would be taken for the next one's: where there is another, a connection
-// rests for longer than the far side needs for two writes.
-constexpr std::chrono::milliseconds kSettle{1};
 
 LoadReport report_of(const HttpMessage& answer) {
     std::string_view text = answer.header("Endpoint-Load-Metrics");
@@ -57,7 +54,7 @@
 
 ServerPool::ServerPool(asio::io_context& io, BufferPool& pool, UpstreamEvents& events,
                        const Settings& settings, std::size_t most_connections, const Manner& manner,
-                       Counters* counters)
+                       Counters* counters, const Reuse& reuse)
     : io_(io),
       pool_(pool),
       events_(events),
@@ -67,6 +64,7 @@
       most_connections_(most_connections),
       manner_(manner),
       counters_(counters),
+      reuse_(reuse),
       sweep_(io) {
     retire_idle();
 }
@@ -96,15 +94,27 @@
     if (!known) return nullptr;
     Server& server = *known;
     auto now = Connection::Steady::now();
-    auto settled = [now](const ConnectionPtr& c) { return now - c->rested_at() >= kSettle; };
+    auto rested = [this, now](const ConnectionPtr& c) { return now - c->answered_at() >= reuse_.rest; };
+    bool wary = now < wary_until_;
+    spare_ = std::min(spare_ + reuse_.spare_part, reuse_.spare_most);
     while (!server.idle.empty()) {
-        auto found = std::find_if(server.idle.rbegin(), server.idle.rend(), settled);
-        if (found == server.idle.rend()) found = server.idle.rbegin();
-        ConnectionPtr last = *found;
+        auto found = std::find_if(server.idle.rbegin(), server.idle.rend(), rested);
+        bool doubted = found == server.idle.rend();
+        if (doubted && wary) break;
+        if (doubted && spare_ >= 1 && connections_ < most_connections_) {
+            spare_ -= 1;
+            break;
+        }
+        if (doubted) --found;  // the one that has rested longest
+        ConnectionPtr idle = *found;
         server.idle.erase(std::prev(found.base()));
-        bool old = now - last->rested_at() >= idle_most_;
-        if (!old && !last->seen_closed()) return last;
-        last->close();
+        bool old = now - idle->rested_at() >= idle_most_;
+        if (!old && !idle->seen_closed()) {
+            if (doubted) idle->doubt(soonest(server));
+            return idle;
+        }
+        if (idle->spoke()) beware();
+        idle->close();
         --connections_;
     }
     if (!server.address || (connections_ >= most_connections_ && !make_room())) return nullptr;
@@ -113,6 +123,23 @@
                                         manner_.pass != Manner::Pass::Only200);
 }
 
+Duration ServerPool::soonest(const Server& server) const {
+    Duration soonest = server.shortest * reuse_.soonest_part;
+    return server.answers >= reuse_.soonest_of && soonest >= reuse_.soonest_least ? soonest : Duration{0};
+}
+
+void ServerPool::beware() {
+    wary_until_ = Connection::Steady::now() + reuse_.wary;
+}
+
+/// What an exchange has shown of its server.
+void ServerPool::learn(ServerId id, const Connection::Result& result, bool doubted) {
+    if (result.unasked) beware();
+    Server* server = find(id);
+    if (!server || doubted || result.end != Connection::End::Answered || result.answer->status != 200) return;
+    server->shortest = server->answers++ == 0 ? result.took : std::min(server->shortest, result.took);
+}
+
 bool ServerPool::make_room() {
     Server* oldest = nullptr;
     for (auto& [id, server] : servers_) {
@@ -138,13 +165,14 @@
     }
     std::string head = request_head(*request, patience);
     connection->let_stream(manner_.body_bytes());
+    bool doubted = connection->doubted();
     connection->exchange(
         std::move(head), std::move(request),
-        [this, id, to](const ConnectionPtr& used, Connection::Result result) {
-            attempt_done(id, to, used, std::move(result));
+        [this, id, to, doubted](const ConnectionPtr& used, Connection::Result result) {
+            attempt_done(id, to, used, std::move(result), doubted);
         },
-        // Guards rule 3: a drain may be told while the connection is still coming up.
-        [this, to] { return may_send(to); },
+        // Guards rule 3: a drain may be told while the connection is still coming up, or its client leave.
+        [this, id, to] { return may_send(to) && events_.wanted(id); },
         [this] {
             if (counters_) counters_->sends.add();
         });
@@ -157,10 +185,12 @@
 }
 
 void ServerPool::attempt_done(AttemptId id, ServerId server, const ConnectionPtr& connection,
-                              Connection::Result result) {
+                              Connection::Result result, bool doubted) {
     attempts_.erase(id);
+    learn(server, result, doubted);
     if (result.streams)
         connection->when_streamed([this, server](const ConnectionPtr& used, bool reusable) {
+            if (used->spoke()) beware();
             give_back(server, used, reusable);
         });
     else
@@ -183,7 +213,9 @@
     find(id)->idle.push_back(connection);
     connection->rest([this, id, lost = std::weak_ptr<Connection>(connection)] {
         Server* server = find(id);
-        if (server && std::erase(server->idle, lost.lock()) > 0) --connections_;
+        ConnectionPtr gone = lost.lock();
+        if (gone && gone->spoke()) beware();
+        if (server && std::erase(server->idle, gone) > 0) --connections_;
     });
 }
 
@@ -222,6 +254,7 @@
         "GET " + manner_.probe_path + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n", nullptr,
         [this, to, took, timer](const ConnectionPtr& used, const Connection::Result& result) {
             if (timer->cancel() == 0) return;  // its time ran out in this same moment
+            if (result.unasked) beware();
             give_back(to, used, result.reusable);
             Outcome outcome = outcome_of_probe(result, manner_.probes_by_status);
             LoadReport report;
--- a/src/http/server_pool.h
+++ b/src/http/server_pool.h
@@ -17,11 +17,29 @@
 
 namespace ochrehub::http {
 
+/// When a connection is used again. A second copy that comes some milliseconds behind an answer would be taken for the
+/// next request's.
+struct Reuse {
+    /// Sooner behind an answer only where a new connection would cost too much, and then what it says is doubted. Some
+    /// times what holds up a write of a busy server's: a turn of its scheduler, a retransmission between machines.
+    std::chrono::milliseconds rest{30};
+    /// Too much: more than one further handshake for so many requests, of which so many are put by.
+    double spare_part = 1.0 / 32, spare_most = 32;
+    /// Once a server has said what nobody asked for, no connection is used sooner for so long, whatever that costs. A
+    /// node of many seldom sees such a server, so it remembers long.
+    std::chrono::minutes wary{5};
+    /// A doubted answer is too soon in less than this part of the shortest time that so many others have taken. Where
+    /// that is less than `soonest_least` it says nothing: so much is the loop's own.
+    double soonest_part = 0.5;
+    int soonest_of = 32;
+    Duration soonest_least{1};
+};
+
 class ServerPool : public Upstream {
 public:
     ServerPool(boost::asio::io_context& io, BufferPool& pool, UpstreamEvents& events,
                const Settings& settings, std::size_t most_connections, const Manner& manner = {},
-               Counters* counters = nullptr);
+               Counters* counters = nullptr, const Reuse& reuse = {});
 
     void servers(const Listing& listing) override;
     void start(AttemptId id, ServerId server, std::shared_ptr<const Message> message,
@@ -32,6 +50,8 @@
     void by_hand(std::uint64_t key, bool out) override;
     /// No more connections than this from now on, idle ones that are over it included.
     void keep_to(std::size_t most_connections);
+    /// Those that come up, carry something or rest.
+    std::size_t connections() const { return connections_; }
 
 private:
     using ConnectionPtr = std::shared_ptr<Connection>;
@@ -40,6 +60,8 @@
         bool sendable = false;            // listed, and neither draining nor gone
         std::uint64_t key = 0;            // what operators' words about it go by
         std::vector<ConnectionPtr> idle;  // the most recently used one last
+        Duration shortest{};              // time to an answer's first byte, of those that nobody doubts
+        int answers = 0;                  // ... and how many they were
     };
     struct IdHash {
         std::size_t operator()(const AttemptId& id) const {
@@ -63,7 +85,10 @@
     ConnectionPtr connection_to(ServerId id);
     void give_back(ServerId id, const ConnectionPtr& connection, bool reusable);
     void attempt_done(AttemptId id, ServerId server, const ConnectionPtr& connection,
-                      Connection::Result result);
+                      Connection::Result result, bool doubted);
+    void learn(ServerId id, const Connection::Result& result, bool doubted);
+    Duration soonest(const Server& server) const;
+    void beware();
     void retire_idle();
     bool make_room();
     void end_later(AttemptId id, Outcome outcome);
@@ -76,6 +101,9 @@
     std::size_t most_connections_, connections_ = 0;
     Manner manner_;
     Counters* counters_;
+    Reuse reuse_;
+    double spare_ = 0;  // handshakes for connections that need not rest
+    Connection::Steady::time_point wary_until_{};
     std::unordered_set<std::uint64_t> out_;  // keys of servers out by hand
     std::unordered_map<ServerId, Server> servers_;  // those that may be sent to; what has left is forgotten
     std::unordered_map<AttemptId, ConnectionPtr, IdHash, IdSame> attempts_;
