Never tell a written request as not run, and write nothing too late

Found by reading, each mended here: - a connection up in the turn in which its connect time-out ends had its request written and then told as never run; the same with an answer's time-out and an answer that went on. A time-out that is disarmed now does nothing; - a reset that a blocked upload's write was told of was then read as an end: half an answer without a length passed as whole. What is read behind a failed write is no end; - an upload answered early by a long answer counted as written whole once more of it came: half a request lay on a connection that was used again. Nothing more of it is written, and its connection is closed; - a request was written though its time had passed while the connection came up, and X-Expires-In told what was left at the start. The head is made when it is written (that of a body still to come as before); - what was out at a server that moved put its old address's connection among the new one's, and one still coming up sent its request there; more connections than keep_to allows were kept where they came back behind it; - a fresh connection that has ended or spoken by the time it is seen to be up was written to; a request whose body has been begun elsewhere cost an idle connection.

Not run: sanitizers, 50 in a row, a busy machine.

--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -44,16 +44,19 @@
     if (head_only_) parser_->skip(true);
 }
 
-void Connection::exchange(std::string head, std::shared_ptr<const HttpMessage> request, Done done,
-                          std::function<bool()> may_send, std::function<void()> on_written) {
+void Connection::exchange(std::string head, std::shared_ptr<const HttpMessage> request, Done done) {
+    exchange([head = std::move(head)] { return std::optional(head); }, std::move(request), std::move(done), nullptr);
+}
+
+void Connection::exchange(Head head, std::shared_ptr<const HttpMessage> request, Done done,
+                          std::function<void()> on_written) {
     ++turn_;
     lost_ = nullptr;
     head_only_ = request && request->method == "HEAD";
-    bool chunked = request && request->rest && !request->length;
-    outgoing_.set(std::move(head), std::move(request), chunked);
-    watched_ = false;
+    head_ = std::move(head);
+    request_ = std::move(request);
+    watched_ = writing_ = cut_ = false;
     done_ = std::move(done);
-    may_send_ = std::move(may_send);
     on_written_ = std::move(on_written);
     written_ = false;
     unasked_ = heard_ = early_ = spoke_ = false;
@@ -78,32 +81,54 @@
     if (!error) socket_.set_option(asio::ip::tcp::no_delay(true), error);
     if (!error) stamp(socket_);
     if (error) return finish(End::NotSent);  // no descriptor, say
-    timer_.expires_after(std::chrono::duration_cast<Steady::duration>(connect_timeout_));
-    timer_.async_wait([self = shared_from_this(), turn = turn_](error_code stopped) {
-        if (!stopped && turn == self->turn_) self->finish(End::NotSent);
-    });
+    arm(std::chrono::duration_cast<Steady::duration>(connect_timeout_), [this] { finish(End::NotSent); });
     socket_.async_connect(to_, [self = shared_from_this(), turn = turn_](error_code failed) {
         if (turn != self->turn_) return;
-        self->timer_.cancel();
+        self->disarm();
         if (failed) return self->finish(End::NotSent);
+        // It may have come up long ago, and been given up since.
+        if (self->seen_closed()) {
+            self->unasked_ = self->spoke_;
+            return self->finish(End::NotSent);
+        }
         self->begin();
     });
 }
 
+// Guards against a time-out that is told in the same turn as what it waited for: it is queued already.
+void Connection::arm(Steady::duration after, std::function<void()> then) {
+    timer_.expires_after(after);
+    timer_.async_wait([self = shared_from_this(), turn = turn_, armed = ++armed_, then = std::move(then)](error_code stopped) {
+        if (!stopped && turn == self->turn_ && armed == self->armed_) then();
+    });
+}
+
+void Connection::disarm() {
+    ++armed_;
+    timer_.cancel();
+}
+
 void Connection::begin() {
-    if (may_send_ && !may_send_()) return finish(End::NotSent, true);
+    std::optional<std::string> head = std::exchange(head_, nullptr)();
+    if (!head) return finish(End::NotSent, true);
+    bool chunked = request_ && request_->rest && !request_->length;
+    outgoing_.set(std::move(*head), std::move(request_), chunked);
     asked_at_ = Steady::now();
+    writing_ = true;
     write();
 }
 
 void Connection::write() {
     Outgoing::State state = outgoing_.write_to(socket_);
-    if (state == Outgoing::State::Failed) return watched_ ? read() : finish(End::NotSent);
+    if (state == Outgoing::State::Failed) {
+        cut_ = true;
+        return watched_ ? read() : finish(End::NotSent);
+    }
     if (state == Outgoing::State::Whole) return next_piece();
     watch_early();
     socket_.async_wait(asio::ip::tcp::socket::wait_write,
                        [self = shared_from_this(), turn = turn_](error_code failed) {
-                           if (turn != self->turn_) return;
+                           if (turn != self->turn_ || !self->writing_) return;
                            failed ? self->finish(End::NotSent) : self->write();
                        });
 }
@@ -121,7 +146,7 @@
         case Outgoing::Next::Wait:
             watch_early();
             return outgoing_.rest().wait_for_data([self = shared_from_this(), turn = turn_] {
-                if (turn == self->turn_) self->next_piece();
+                if (turn == self->turn_ && self->writing_) self->next_piece();
             });
     }
 }
@@ -136,17 +161,13 @@
     socket_.async_wait(asio::ip::tcp::socket::wait_read,
                        [self = shared_from_this(), turn = turn_](error_code failed) {
                            if (turn != self->turn_) return;
-                           failed ? self->finish(End::Broken) : self->read();
+                           failed ? self->finish(self->written_ ? End::Broken : End::NotSent) : self->read();
                        });
 }
 
 void Connection::read() {
     if (stream_ && !unread_ && pool_.dry()) {  // others hold all there is: their clients are slow
-        timer_.expires_after(kDryRest);
-        timer_.async_wait([self = shared_from_this(), turn = turn_](error_code stopped) {
-            if (!stopped && turn == self->turn_) self->read();
-        });
-        return;
+        return arm(kDryRest, [this] { read(); });
     }
     if (!unread_) unread_ = pool_.take();
     // One buffer a turn: a server that never stops must not hold the loop.
@@ -159,7 +180,8 @@
         if (error == asio::error::would_block) break;
         if (!error && !heard_ && came_too_soon(received.age)) return finish(End::Garbage);
         bool ends_it = ends_whole_ || (parser_->is_header_done() && parser_->message_says_close());
-        if (error == asio::error::eof && ends_it && parser_->is_header_done() && parser_->need_eof()) {
+        // A reset that a write has been told of is read as an end: it is none.
+        if (error == asio::error::eof && ends_it && !cut_ && parser_->is_header_done() && parser_->need_eof()) {
             error_code cut;
             parser_->put_eof(cut);
             if (stream_) return end_stream(!cut, false);
@@ -192,7 +214,7 @@
         unread_.drop_front(used);
         bool full = bad == boost::beast::http::error::need_buffer;
         if (full && stream_) {
-            timer_.cancel();  // whoever takes it is slow, not the server
+            disarm();  // whoever takes it is slow, not the server
             stream_->wait_for_room([self = shared_from_this(), turn = turn_] {
                 if (turn != self->turn_) return;
                 bool ended = false;
@@ -222,7 +244,7 @@
             // An interim answer: the real one follows. Nobody asked for another protocol, nor for interim answers
             // without end.
             if (status == 101 || ++interims_ > kInterimMost) return ends(End::Garbage);
-            timer_.cancel();
+            disarm();
             early_ = !written_;
             expect_answer();
             if (unread_.view().empty()) return true;
@@ -267,6 +289,7 @@
 }
 
 void Connection::begin_stream() {
+    writing_ = false;  // nothing more of the request, if it is not whole: nobody reads its rest
     stream_ = std::make_shared<BodyStream>(io_, pool_);
     parser_->pass_rest_to(stream_);
     stream_->when_abandoned([self = shared_from_this(), turn = turn_] {
@@ -287,7 +310,7 @@
     whole ? stream_->end() : stream_->break_off();
     stream_.reset();
     unread_.release();
-    timer_.cancel();
+    disarm();
     parser_.reset();
     answered_at_ = Steady::now();
     spoke_ = unasked_;
@@ -301,10 +324,7 @@
 
 void Connection::limit_answer() {
     if (answer_most_.count() == 0) return;
-    timer_.expires_after(stream_ ? kStreamMost : answer_most_);
-    timer_.async_wait([self = shared_from_this(), turn = turn_](error_code stopped) {
-        if (!stopped && turn == self->turn_) self->finish(End::Garbage);
-    });
+    arm(stream_ ? kStreamMost : answer_most_, [this] { finish(End::Garbage); });
 }
 
 void Connection::finish(End end, bool reusable) {
@@ -315,7 +335,7 @@
     }
     ++turn_;
     unread_.release();
-    timer_.cancel();
+    disarm();
     if (!reusable) {
         error_code ignored;
         socket_.close(ignored);
@@ -329,7 +349,8 @@
     if (end == End::Answered || end == End::TooLarge) result.answer = parser_->take();
     parser_.reset();
     outgoing_.clear();
-    may_send_ = nullptr;
+    request_.reset();
+    head_ = nullptr;
     on_written_ = nullptr;
     may_stream_ = watched_ = doubted_ = false;
     if (!starting_) return tell(std::move(result));
@@ -349,10 +370,11 @@
 bool Connection::close() {
     ++turn_;
     error_code ignored;
-    timer_.cancel();
+    disarm();
     socket_.close(ignored);
     done_ = nullptr;
-    may_send_ = nullptr;
+    head_ = nullptr;
+    request_.reset();
     lost_ = nullptr;
     on_written_ = nullptr;
     streamed_ = nullptr;
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -42,11 +42,12 @@
                std::chrono::milliseconds answer_most = std::chrono::milliseconds(300),
                bool ends_whole = false);
 
-    /// Connects if it has to, writes, reads the answer. `request` may be null: a head alone. `may_send`, if
-    /// given, is asked once the connection is up; `written` hears that the request was written whole. `done` is never
-    /// called before this returns, and not after close().
-    void exchange(std::string head, std::shared_ptr<const HttpMessage> request, Done done,
-                  std::function<bool()> may_send = nullptr, std::function<void()> on_written = nullptr);
+    /// Asked for the request's head once the connection is up. Nothing: it is not to be sent any more.
+    using Head = std::function<std::optional<std::string>()>;
+    /// Connects if it has to, writes, reads the answer. `request` may be null: a head alone. `on_written` hears that the
+    /// request was written whole. `done` is never called before this returns, and not after close().
+    void exchange(Head head, std::shared_ptr<const HttpMessage> request, Done done, std::function<void()> on_written);
+    void exchange(std::string head, std::shared_ptr<const HttpMessage> request, Done done);
     /// Of the next exchange: a second copy of the answer before may still be on its way. What comes sooner than
     /// `soonest` behind the request's first byte, or ahead of its last, or brings more than an answer, is taken for none.
     void doubt(Duration soonest) {
@@ -80,6 +81,8 @@
 
 private:
     void connect();
+    void arm(Steady::duration after, std::function<void()> then);
+    void disarm();
     void begin();
     void write();
     void next_piece();
@@ -107,7 +110,8 @@
     bool ends_whole_;
     bool head_only_ = false;  // what was asked for has no body
     Outgoing outgoing_;
-    std::function<bool()> may_send_;
+    Head head_;
+    std::shared_ptr<const HttpMessage> request_;  // till it is written
     std::function<void()> on_written_;
     Done done_;
     Streamed streamed_;
@@ -119,6 +123,8 @@
     Steady::time_point answered_at_ = {};  // long ago
     Duration soonest_{}, took_{};
     bool doubted_ = false, unasked_ = false, heard_ = false, early_ = false, spoke_ = false;
+    bool writing_ = false;                // the request, or waiting for more of it
+    bool cut_ = false;                    // a write has failed
     bool watched_ = false;                // for an answer, while the request is still being written
     bool written_ = false;
     std::optional<MessageParser<false>> parser_;
@@ -126,6 +132,7 @@
     std::function<void()> lost_;
     bool starting_ = false;
     int interims_ = 0;
+    std::uint64_t armed_ = 0;  // how often the timer was
     std::uint64_t turn_ = 0;  // of exchanges and rests: a handler of an earlier one does nothing
     Steady::time_point rested_at_{};
 };
--- a/src/http/server_pool.cpp
+++ b/src/http/server_pool.cpp
@@ -77,7 +77,10 @@
         const ListEntry& entry = listing.update.entries[i];
         Server& server = servers_[entry.server];
         auto address = parse_address(listing.addresses[i]);
-        if (address != server.address) close_idle(entry.server);  // it has moved
+        if (address != server.address) {  // it has moved
+            close_idle(entry.server);
+            server.answers = 0;
+        }
         server.address = address;
         server.key = entry.key != 0 ? entry.key : entry.server;
         server.sendable = entry.phase == Phase::Ready || (entry.phase == Phase::Gone && !removal_binds_);
@@ -154,25 +157,28 @@
 }
 
 void ServerPool::start(AttemptId id, ServerId to, std::shared_ptr<const Message> message, Duration patience) {
-    ConnectionPtr connection = connection_to(to);
+    auto request = std::static_pointer_cast<const HttpMessage>(std::move(message));
+    // Guards against half a body that would look whole.
+    ConnectionPtr connection = request->replayable() ? connection_to(to) : nullptr;
     attempts_[id] = connection;
     if (!connection) return end_later(id, Outcome::ConnectFailed);
-    auto request = std::static_pointer_cast<const HttpMessage>(std::move(message));
-    if (!request->replayable()) {  // guards against half a body that would look whole
-        give_back(to, connection, false);
-        attempts_[id] = nullptr;
-        return end_later(id, Outcome::ConnectFailed);
-    }
-    std::string head = request_head(*request, patience);
+    auto began = Connection::Steady::now();
+    // Guards rule 3: a drain may be told while the connection is still coming up, its client leave, or its time pass.
+    // That of one whose body is still to come begins with its end.
+    auto head = [this, id, to, at = connection->to(), request, began, patience]() -> std::optional<std::string> {
+        if (!may_send(to, at) || !events_.wanted(id)) return std::nullopt;
+        Duration left = patience;
+        if (!request->rest) left -= Connection::Steady::now() - began;
+        if (left.count() <= 0 && !request->rest) return std::nullopt;
+        return request_head(*request, left);
+    };
     connection->let_stream(manner_.body_bytes());
     bool doubted = connection->doubted();
     connection->exchange(
-        std::move(head), std::move(request),
+        std::move(head), request,
         [this, id, to, doubted](const ConnectionPtr& used, Connection::Result result) {
             attempt_done(id, to, used, std::move(result), doubted);
         },
-        // Guards rule 3: a drain may be told while the connection is still coming up, or its client leave.
-        [this, id, to] { return may_send(to) && events_.wanted(id); },
         [this] {
             if (counters_) counters_->sends.add();
         });
@@ -205,7 +211,7 @@
 }
 
 void ServerPool::give_back(ServerId id, const ConnectionPtr& connection, bool reusable) {
-    if (!reusable || !may_send(id)) {
+    if (!reusable || connections_ > most_connections_ || !may_send(id, connection->to())) {
         connection->close();
         --connections_;
         return;
--- a/src/http/server_pool.h
+++ b/src/http/server_pool.h
@@ -78,9 +78,9 @@
         auto it = servers_.find(id);
         return it == servers_.end() ? nullptr : &it->second;
     }
-    bool may_send(ServerId id) {
+    bool may_send(ServerId id, const Connection::Endpoint& at) {
         Server* server = find(id);
-        return server && server->sendable && !out_.contains(server->key);
+        return server && server->sendable && server->address == at && !out_.contains(server->key);
     }
     ConnectionPtr connection_to(ServerId id);
     void give_back(ServerId id, const ConnectionPtr& connection, bool reusable);
