--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -3,8 +3,11 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <sys/socket.h>
 #include <utility>
 
+#include "http/receive.h"
+
 namespace ochrehub::http {
 
 namespace asio = boost::asio;
@@ -17,6 +20,12 @@
 constexpr std::chrono::milliseconds kStreamMost{15000};  // no further byte of one that has been passed on in part
 constexpr std::chrono::milliseconds kDryRest{20};
 
+/// A kernel that cannot stamp leaves open when bytes came: then they came when they are read.
+void stamp(asio::ip::tcp::socket& socket) {
+    int on = 1;
+    (void)setsockopt(socket.native_handle(), SOL_SOCKET, SO_TIMESTAMPNS, &on, sizeof on);
+}
+
 }  // namespace
 
 Connection::Connection(asio::io_context& io, BufferPool& pool, const Endpoint& to, Duration connect_timeout,
@@ -35,18 +44,23 @@
     if (head_only_) parser_->skip(true);
 }
 
-void Connection::exchange(std::string head, std::shared_ptr<const HttpMessage> request, Done done,
-                          std::function<bool()> may_send, std::function<void()> on_written) {
+void Connection::exchange(std::string head, std::shared_ptr<const HttpMessage> request, Done done) {
+    exchange([head = std::move(head)] { return std::optional(head); }, std::move(request), std::move(done), nullptr);
+}
+
+void Connection::exchange(Head head, std::shared_ptr<const HttpMessage> request, Done done,
+                          std::function<void()> on_written) {
     ++turn_;
     lost_ = nullptr;
     head_only_ = request && request->method == "HEAD";
-    bool chunked = request && request->rest && !request->length;
-    outgoing_.set(std::move(head), std::move(request), chunked);
-    watched_ = false;
+    head_ = std::move(head);
+    request_ = std::move(request);
+    watched_ = writing_ = cut_ = false;
     done_ = std::move(done);
-    may_send_ = std::move(may_send);
     on_written_ = std::move(on_written);
     written_ = false;
+    unasked_ = heard_ = early_ = spoke_ = false;
+    asked_at_ = {};
     expect_answer();
     interims_ = 0;
     starting_ = true;
@@ -65,45 +79,56 @@
     socket_.open(to_.protocol(), error);
     if (!error) socket_.non_blocking(true, error);
     if (!error) socket_.set_option(asio::ip::tcp::no_delay(true), error);
+    if (!error) stamp(socket_);
     if (error) return finish(End::NotSent);  // no descriptor, say
-    call_in(std::chrono::duration_cast<Steady::duration>(connect_timeout_),
-            [](Connection& self) { self.finish(End::NotSent); });
+    arm(std::chrono::duration_cast<Steady::duration>(connect_timeout_), [this] { finish(End::NotSent); });
     socket_.async_connect(to_, [self = shared_from_this(), turn = turn_](error_code failed) {
         if (turn != self->turn_) return;
-        self->stop_timer();
+        self->disarm();
         if (failed) return self->finish(End::NotSent);
+        // It may have come up long ago, and been given up since.
+        if (self->seen_closed()) {
+            self->unasked_ = self->spoke_;
+            return self->finish(End::NotSent);
+        }
         self->begin();
     });
 }
 
-// A connection that comes up, or bytes that come, in the turn of the loop in which the time runs out: the timer's handler
-// is on its way already and no cancel() stops it. What it was to end has gone on, and may have been written whole.
-void Connection::call_in(Steady::duration time, void (*what)(Connection&)) {
-    stop_timer();
-    timer_.expires_after(time);
-    timer_.async_wait([self = shared_from_this(), turn = turn_, armed = armed_, what](error_code stopped) {
-        if (!stopped && turn == self->turn_ && armed == self->armed_) what(*self);
+// Guards against a time-out that is told in the same turn as what it waited for: it is queued already.
+void Connection::arm(Steady::duration after, std::function<void()> then) {
+    timer_.expires_after(after);
+    timer_.async_wait([self = shared_from_this(), turn = turn_, armed = ++armed_, then = std::move(then)](error_code stopped) {
+        if (!stopped && turn == self->turn_ && armed == self->armed_) then();
     });
 }
 
-void Connection::stop_timer() {
+void Connection::disarm() {
     ++armed_;
     timer_.cancel();
 }
 
 void Connection::begin() {
-    if (may_send_ && !may_send_()) return finish(End::NotSent, true);
+    std::optional<std::string> head = std::exchange(head_, nullptr)();
+    if (!head) return finish(End::NotSent, true);
+    bool chunked = request_ && request_->rest && !request_->length;
+    outgoing_.set(std::move(*head), std::move(request_), chunked);
+    asked_at_ = Steady::now();
+    writing_ = true;
     write();
 }
 
 void Connection::write() {
     Outgoing::State state = outgoing_.write_to(socket_);
-    if (state == Outgoing::State::Failed) return watched_ ? read() : finish(End::NotSent);
+    if (state == Outgoing::State::Failed) {
+        cut_ = true;
+        return watched_ ? read() : finish(End::NotSent);
+    }
     if (state == Outgoing::State::Whole) return next_piece();
     watch_early();
     socket_.async_wait(asio::ip::tcp::socket::wait_write,
                        [self = shared_from_this(), turn = turn_](error_code failed) {
-                           if (turn != self->turn_) return;
+                           if (turn != self->turn_ || !self->writing_) return;
                            failed ? self->finish(End::NotSent) : self->write();
                        });
 }
@@ -121,7 +146,7 @@
         case Outgoing::Next::Wait:
             watch_early();
             return outgoing_.rest().wait_for_data([self = shared_from_this(), turn = turn_] {
-                if (turn == self->turn_) self->next_piece();
+                if (turn == self->turn_ && self->writing_) self->next_piece();
             });
     }
 }
@@ -136,24 +161,27 @@
     socket_.async_wait(asio::ip::tcp::socket::wait_read,
                        [self = shared_from_this(), turn = turn_](error_code failed) {
                            if (turn != self->turn_) return;
-                           failed ? self->finish(End::Broken) : self->read();
+                           failed ? self->finish(self->written_ ? End::Broken : End::NotSent) : self->read();
                        });
 }
 
 void Connection::read() {
     if (stream_ && !unread_ && pool_.dry()) {  // others hold all there is: their clients are slow
-        return call_in(kDryRest, [](Connection& self) { self.read(); });
+        return arm(kDryRest, [this] { read(); });
     }
     if (!unread_) unread_ = pool_.take();
     // One buffer a turn: a server that never stops must not hold the loop.
     for (std::size_t read = 0; read < BufferPool::kSize;) {
         error_code error;
-        std::size_t got = 0;
         if (unread_.room() == 0) return finish(End::Garbage);
-        got = socket_.read_some(asio::buffer(unread_.free_space(), unread_.room()), error);
+        Received received = receive(socket_, unread_.free_space(), unread_.room());
+        error = received.error;
+        std::size_t got = received.bytes;
         if (error == asio::error::would_block) break;
+        if (!error && !heard_ && came_too_soon(received.age)) return finish(End::Garbage);
         bool ends_it = ends_whole_ || (parser_->is_header_done() && parser_->message_says_close());
-        if (error == asio::error::eof && ends_it && parser_->is_header_done() && parser_->need_eof()) {
+        // A reset that a write has been told of is read as an end: it is none.
+        if (error == asio::error::eof && ends_it && !cut_ && parser_->is_header_done() && parser_->need_eof()) {
             error_code cut;
             parser_->put_eof(cut);
             if (stream_) return end_stream(!cut, false);
@@ -186,7 +214,7 @@
         unread_.drop_front(used);
         bool full = bad == boost::beast::http::error::need_buffer;
         if (full && stream_) {
-            stop_timer();  // whoever takes it is slow, not the server
+            disarm();  // whoever takes it is slow, not the server
             stream_->wait_for_room([self = shared_from_this(), turn = turn_] {
                 if (turn != self->turn_) return;
                 bool ended = false;
@@ -203,6 +231,8 @@
             !parser_->message_says_close())
             return ends(parser_->message().status == 200 ? End::Garbage : End::Answered);
         if (parser_->is_done()) {
+            bool interim = !stream_ && parser_->message().status >= 100 && parser_->message().status < 200;
+            unasked_ = unasked_ || (!interim && !unread_.view().empty());
             bool reusable = parser_->keep_alive() && unread_.view().empty() && written_;
             if (stream_) {
                 over = true;
@@ -214,13 +244,15 @@
             // An interim answer: the real one follows. Nobody asked for another protocol, nor for interim answers
             // without end.
             if (status == 101 || ++interims_ > kInterimMost) return ends(End::Garbage);
-            stop_timer();
+            disarm();
+            early_ = !written_;
             expect_answer();
             if (unread_.view().empty()) return true;
             began_at_ = Steady::now();
             continue;
         }
         if (stream_due()) {
+            if (may_be_other()) return ends(End::Garbage);
             std::uint64_t turn = turn_;
             begin_stream();
             if (turn != turn_) {  // nobody wants it
@@ -233,6 +265,22 @@
     }
 }
 
+/// What was there before the request cannot be its answer: by the kernel's stamp, however late it is read.
+bool Connection::came_too_soon(Duration age) {
+    heard_ = true;
+    early_ = !written_;
+    took_ = Duration{Steady::now() - asked_at_} - age;
+    unasked_ = took_ < (doubted_ ? soonest_ : Duration{0});
+    return unasked_;
+}
+
+/// A whole answer on a connection whose last one may have a second copy. One that never ran by its word, ahead of the
+/// request's last byte, is true whichever it is: the rest is not written any more.
+bool Connection::may_be_other() {
+    if (!doubted_) return false;
+    return unasked_ || (early_ && (written_ || parser_->message().status < 500));
+}
+
 // Not before something of the body is there: till then another server can still be asked.
 bool Connection::stream_due() const {
     if (!may_stream_ || stream_ || !parser_->is_header_done() || !parser_->body_begun()) return false;
@@ -241,6 +289,7 @@
 }
 
 void Connection::begin_stream() {
+    writing_ = false;  // nothing more of the request, if it is not whole: nobody reads its rest
     stream_ = std::make_shared<BodyStream>(io_, pool_);
     parser_->pass_rest_to(stream_);
     stream_->when_abandoned([self = shared_from_this(), turn = turn_] {
@@ -250,6 +299,8 @@
     result.end = End::Answered;
     result.answer = parser_->take();
     result.streams = true;
+    result.unasked = unasked_;
+    result.took = took_;
     outgoing_.clear();
     tell(std::move(result));
 }
@@ -259,8 +310,11 @@
     whole ? stream_->end() : stream_->break_off();
     stream_.reset();
     unread_.release();
-    stop_timer();
+    disarm();
     parser_.reset();
+    answered_at_ = Steady::now();
+    spoke_ = unasked_;
+    may_stream_ = watched_ = doubted_ = false;
     if (!reusable) {
         error_code ignored;
         socket_.close(ignored);
@@ -270,14 +324,18 @@
 
 void Connection::limit_answer() {
     if (answer_most_.count() == 0) return;
-    call_in(stream_ ? kStreamMost : answer_most_, [](Connection& self) { self.finish(End::Garbage); });
+    arm(stream_ ? kStreamMost : answer_most_, [this] { finish(End::Garbage); });
 }
 
 void Connection::finish(End end, bool reusable) {
     if (stream_) return end_stream(false, false);
+    if ((end == End::Answered || end == End::TooLarge) && may_be_other()) {
+        end = End::Garbage;
+        reusable = false;
+    }
     ++turn_;
     unread_.release();
-    stop_timer();
+    disarm();
     if (!reusable) {
         error_code ignored;
         socket_.close(ignored);
@@ -285,12 +343,16 @@
     Result result;
     result.end = end;
     result.reusable = reusable;
+    result.unasked = unasked_;
+    result.took = took_;
+    if (end == End::Answered) answered_at_ = Steady::now();
     if (end == End::Answered || end == End::TooLarge) result.answer = parser_->take();
     parser_.reset();
     outgoing_.clear();
-    may_send_ = nullptr;
+    request_.reset();
+    head_ = nullptr;
     on_written_ = nullptr;
-    may_stream_ = watched_ = false;
+    may_stream_ = watched_ = doubted_ = false;
     if (!starting_) return tell(std::move(result));
     // Later: whoever started the exchange must not be called back from inside the call.
     asio::post(io_, [self = shared_from_this(), turn = turn_, result = std::move(result)]() mutable {
@@ -308,10 +370,11 @@
 bool Connection::close() {
     ++turn_;
     error_code ignored;
-    stop_timer();
+    disarm();
     socket_.close(ignored);
     done_ = nullptr;
-    may_send_ = nullptr;
+    head_ = nullptr;
+    request_.reset();
     lost_ = nullptr;
     on_written_ = nullptr;
     streamed_ = nullptr;
@@ -330,6 +393,7 @@
     socket_.async_wait(asio::ip::tcp::socket::wait_read,
                        [self = shared_from_this(), turn = turn_](error_code) {
                            if (turn != self->turn_) return;
+                           self->seen_closed();
                            std::function<void()> tell = std::move(self->lost_);
                            self->close();
                            if (tell) tell();
@@ -339,7 +403,7 @@
 bool Connection::seen_closed() {
     char byte = 0;
     error_code error;
-    socket_.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    spoke_ = socket_.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error) > 0;
     return error != asio::error::would_block;
 }
 
