--- a/lab/cold/world.cpp
+++ b/lab/cold/world.cpp
@@ -444,6 +444,11 @@
     add("all after outage", [](ColdDay& d) { d.starts = Starts::AllLost, d.load = 1; });
     add("all, turn away", [](ColdDay& d) { d.starts = Starts::AllLost, d.load = 1, d.turns_away = true; });
     add("all, slots 5 x", [&](ColdDay& d) { d.starts = Starts::AllLost, d.work = waits, d.slots = 150; });
+    add("all after outage, 1.3", [&](ColdDay& d) { d.starts = Starts::AllLost, d.work = waits, d.load = 1.3, d.probes = Probes::None; });
+    add("half after outage, 1.3", [&](ColdDay& d) { d.starts = Starts::ZoneLost, d.work = waits, d.load = 1.3, d.probes = Probes::None; });
+    add("half, few, slots 5 x", [&](ColdDay& d) {
+        d.starts = Starts::ZoneLost, d.servers = 2, d.work = waits, d.slots = 150, d.load = 1.3;
+    });
     add("three zones", [](ColdDay& d) { d.zones = 3, d.servers = 12, d.starts = Starts::AfterOutage, d.load = 1; });
     add("1 in 10 restart", [](ColdDay& d) { d.restarting = 0.1, d.restart_spread = true, d.load = 1.3; });
     add("7 in 10 restart", [](ColdDay& d) { d.restarting = 0.7, d.load = 1.3; });
