--- a/include/ochrehub/rules.h
+++ b/include/ochrehub/rules.h
@@ -59,6 +59,7 @@
     bool second_copies = false;
     bool retry_after = false;
     bool removal_not_binding = false;
+    bool live_sizes = false;  ///< a listed size falls with what the server holds, and says nothing of what it can bear
     int max_attempts = 1;
     Duration max_retry_after{};
     Duration granularity{1};
--- a/src/engine/decode.cpp
+++ b/src/engine/decode.cpp
@@ -53,6 +53,7 @@
     set.probes_report_load = in.text_or("LoadReport.How", "none") != "none" &&
                              std::find(columns.begin(), columns.end(), "inflight") != columns.end();
     set.removal_not_binding = in.flag_or("Safety.RemovalNotBinding", false);
+    set.live_sizes = in.find("Weights").value_or("") == "live";
     set.connect_timeout = Duration{in.real_or("Limits.ConnectTimeout", 1000)};
     set.conn_idle = Duration{in.real_or("Limits.ConnIdle", 10000)};
     set.grace_to_answer = Duration{in.real_or("Safety.GraceToAnswer", 0)};
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -212,11 +212,10 @@
             wait = std::max(kRewatchMin, wait);
             return set_.watches ? start_timer(TimerKind::Rewatch, wait, 0, ++rewatch_epoch_) : void();
         }
-        if (update.kind != ListKind::Cached) rewatch_tries_ = 0;
         if (update.kind != ListKind::Delta)  // a whole list: what it does not name has gone
             for (Server& s : servers_) s.listed = false, s.named = s.entry.phase != Phase::Gone;
         for (const ListEntry& entry : update.entries) apply(entry);
-        if (update.kind != ListKind::Cached) forget_gone();
+        if (update.kind != ListKind::Cached) rewatch_tries_ = 0, forget_gone();
         subset_stale_ = true;
     }
 
@@ -318,7 +317,7 @@
                 if (in_use(servers_[i]) && tier(servers_[i]) == wanted) order_.push_back(i);
             if (wanted == 0) here_ = order_.size();
         }
-        if (!zoned()) here_ = order_.size();
+        if (!zoned() || here_ == 0) here_ = order_.size();  // nobody here: there is no crossing to save
         for (std::size_t i : order_) total_size_ += servers_[i].entry.size;
         width_ = width_at(arrivals_.value);
         share_out_servers();
@@ -359,7 +358,7 @@
         double quotas = 0;
         for (const TenantSettings& tenant : set_.tenants) quotas += tenant.quota_rps;
         std::size_t shared = width_at(quotas / set_.balancers);
-        if (shared >= order_.size() || zoned() || set_.removal_not_binding) return;
+        if (quotas <= 0 || shared >= order_.size() || zoned() || set_.removal_not_binding) return;
         std::vector<std::uint64_t> keys;
         for (std::size_t i : order_) keys.push_back(mixed(servers_[i].entry.key));
         const Subset& shares = shares_.of(keys, set_.balancers, set_.me, shared);
@@ -525,7 +524,8 @@
     double carried(const Server& s) const {
         double slots = std::max(1.0, slots_) * 1000 / 1.5;
         double served = most_served_.left(now_, kServedFade) * set_.balancers;
-        return std::max(slots, served * s.entry.size / std::max(1e-9, total_size_));
+        double size = set_.live_sizes ? total_size_ / double(order_.size()) : s.entry.size;
+        return std::max(slots, served * size / std::max(1e-9, total_size_));
     }
 
     double weight(Server& s) {
