--- a/src/http/server_pool.h
+++ b/src/http/server_pool.h
@@ -24,7 +24,7 @@
     /// times what holds up a write of a busy server's: a turn of its scheduler, a retransmission between machines.
     std::chrono::milliseconds rest{30};
     /// Too much: more than one further handshake for so many requests, of which so many are put by.
-    double spare_part = 1.0 / 32, spare_most = 32;
+    double spare_part = 1.0 / 256, spare_most = 8;
     /// Once a server has said what nobody asked for, no connection is used sooner for so long, whatever that costs. A
     /// node of many seldom sees such a server, so it remembers long.
     std::chrono::minutes wary{5};
