Write no request to its end that is not wanted any more

Need: no repeat may arrive after its window. Whether an attempt may still be written was asked once, when its connection was up. A server that takes its time to read, or a body that is still to come, lets the last byte be written, and arrive, long behind that: behind the window for a repeat, or for a client that has left.

Now it is asked again before each further write of what was not written at once. What is not wanted any more ends there: its last byte is unwritten, so it never ran. What lies in the kernel by then still goes out; it is not the whole request.

Seen to fail without the mend: ServerPool.WhatIsNotWantedAnyMoreIsNotWrittenToItsEnd and WhatComesOfAnUploadThatIsNotWantedAnyMoreIsNotWritten (both never ended).

--- a/src/engine/types.h
+++ b/src/engine/types.h
@@ -67,7 +67,8 @@
 class UpstreamEvents {
 public:
     virtual ~UpstreamEvents() = default;
-    /// Somebody still waits for this attempt. Asked once its connection is up, which may be long after its start.
+    /// Somebody still waits for this attempt, and it may still be written. Asked once its connection is up, which may be
+    /// long after its start, and before each further write of what was not written at once.
     virtual bool wanted(AttemptId /*id*/) { return true; }
     virtual void attempt_ended(AttemptId id, AttemptResult result) = 0;
     virtual void probe_ended(ServerId server, Duration elapsed, Outcome outcome, LoadReport report) = 0;
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -129,10 +129,16 @@
     socket_.async_wait(asio::ip::tcp::socket::wait_write,
                        [self = shared_from_this(), turn = turn_](error_code failed) {
                            if (turn != self->turn_ || !self->writing_) return;
-                           failed ? self->finish(End::NotSent) : self->write();
+                           failed ? self->finish(End::NotSent) : self->write_on();
                        });
 }
 
+// A server may take its time to read, and a client to send: what may be written at the beginning may not at the end.
+void Connection::write_on() {
+    if (more_ && !more_()) return finish(End::NotSent);
+    write();
+}
+
 void Connection::next_piece() {
     switch (outgoing_.next()) {
         case Outgoing::Next::Over:
@@ -140,7 +146,7 @@
             if (on_written_) on_written_();
             return watched_ ? void() : wait_for_answer();
         case Outgoing::Next::Piece:
-            return write();
+            return write_on();
         case Outgoing::Next::Broken:
             return finish(End::NotSent);
         case Outgoing::Next::Wait:
@@ -302,6 +308,7 @@
     result.unasked = unasked_;
     result.took = took_;
     outgoing_.clear();
+    more_ = nullptr;
     tell(std::move(result));
 }
 
@@ -352,6 +359,7 @@
     request_.reset();
     head_ = nullptr;
     on_written_ = nullptr;
+    more_ = nullptr;
     may_stream_ = watched_ = doubted_ = false;
     if (!starting_) return tell(std::move(result));
     // Later: whoever started the exchange must not be called back from inside the call.
@@ -377,6 +385,7 @@
     request_.reset();
     lost_ = nullptr;
     on_written_ = nullptr;
+    more_ = nullptr;
     streamed_ = nullptr;
     if (stream_) stream_->break_off();
     stream_.reset();
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -67,6 +67,9 @@
 
     /// Waits for the far side's close while idle; `lost` hears of it.
     void rest(std::function<void()> lost);
+    /// Asked before each further write of the next exchange's request, once a first one has left something to write: false
+    /// ends it there, its last byte unwritten.
+    void ask_before_more(std::function<bool()> more) { more_ = std::move(more); }
     /// Looks whether the far side has closed it, or said what nobody asked for.
     bool seen_closed();
 
@@ -85,6 +88,7 @@
     void disarm();
     void begin();
     void write();
+    void write_on();
     void next_piece();
     void watch_early();
     void wait_for_answer();
@@ -114,6 +118,7 @@
     Head head_;
     std::shared_ptr<const HttpMessage> request_;  // till it is written
     std::function<void()> on_written_;
+    std::function<bool()> more_;
     Done done_;
     Streamed streamed_;
     bool may_stream_ = false;
--- a/src/http/server_pool.cpp
+++ b/src/http/server_pool.cpp
@@ -173,6 +173,8 @@
         return request_head(*request, left);
     };
     connection->let_stream(manner_.body_bytes());
+    // Guards rule 2: a repeat whose last byte would be written behind its window.
+    connection->ask_before_more([this, id] { return events_.wanted(id); });
     bool doubted = connection->doubted();
     connection->exchange(
         std::move(head), request,
--- a/tests/server_pool_test.cpp
+++ b/tests/server_pool_test.cpp
@@ -38,6 +38,13 @@
     return far;
 }
 
+std::shared_ptr<http::HttpMessage> longer(RequestId id, std::shared_ptr<http::BodyStream> rest, std::size_t first) {
+    auto message = Rig::request(id, std::string(first, 'r'));
+    message->rest = std::make_shared<http::BodyReader>(std::move(rest));
+    message->length = first + 1000000;
+    return message;
+}
+
 // --- a second answer that comes late ---
 
 TEST(ServerPool, ASecondCopyThatLiesThereIsSeenAndAnotherConnectionUsed) {
@@ -440,13 +447,6 @@
 
 // --- requests that break off ---
 
-std::shared_ptr<http::HttpMessage> longer(RequestId id, std::shared_ptr<http::BodyStream> rest, std::size_t first) {
-    auto message = Rig::request(id, std::string(first, 'r'));
-    message->rest = std::make_shared<http::BodyReader>(std::move(rest));
-    message->length = first + 1000000;
-    return message;
-}
-
 TEST(ServerPool, ARequestThatBreaksBeforeItsLastByteNeverRan) {
     for (bool used : {false, true}) {
         Rig rig(always_rested());
@@ -466,6 +466,45 @@
     }
 }
 
+// The window for a repeat may end while a server takes its time to read: its last byte must not arrive then.
+TEST(ServerPool, WhatIsNotWantedAnyMoreIsNotWrittenToItsEnd) {
+    const std::string body(32 << 20, 'r');
+    Rig rig;
+    bool wanted = true;
+    rig.events.asked = [&](AttemptId) { return wanted; };
+    rig.start(1, Rig::request(1, body));
+    FarPtr far = rig.accept();
+    rig.request_at(*far);
+    rig.turn();  // blocked
+    wanted = false;
+    rig.until([&] {
+        far->heard();
+        return !rig.events.results[1].empty();
+    });
+    EXPECT_EQ(rig.outcome(1), Outcome::ConnectFailed);
+    EXPECT_LT(far->heard().size(), body.size());
+    rig.until([&] { return far->closed(); });
+    expect_balance(rig, 0);
+}
+
+TEST(ServerPool, WhatComesOfAnUploadThatIsNotWantedAnyMoreIsNotWritten) {
+    Rig rig;
+    bool wanted = true;
+    rig.events.asked = [&](AttemptId) { return wanted; };
+    auto stream = std::make_shared<http::BodyStream>(rig.io, rig.pool);
+    rig.start(1, longer(1, stream, 10));
+    FarPtr far = rig.accept();
+    rig.request_at(*far);
+    rig.turn();
+    wanted = false;
+    stream->put("the end");
+    stream->end();
+    EXPECT_EQ(rig.outcome(1), Outcome::ConnectFailed);
+    rig.until([&] { return far->closed(); });
+    EXPECT_EQ(far->heard(), std::string(10, 'r'));
+    expect_balance(rig, 0);
+}
+
 TEST(ServerPool, AResetThatAWriteIsToldOfIsNoEndOfAnAnswer) {
     Rig rig;
     auto stream = std::make_shared<http::BodyStream>(rig.io, rig.pool);
