Close idle connections of a server's earlier process once its new start is told

A list that names a server with a new start says that another process answers there. Connections that came up before that start belong to the one before it: where that one died their reset has closed them, but where its machine vanished nothing was said, and a request written to one of them ends as a reset, which an unsafe one does not survive.

Idle connections that were opened before the start are closed when the list tells of it; later ones stay, so that it costs no handshake more.

Seen to fail without the mend: ServerPool.AServerThatHasStartedAnewGetsNothingOnAnEarlierConnection.

--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -75,6 +75,7 @@
 }
 
 void Connection::connect() {
+    opened_at_ = TimePoint{Duration(std::chrono::system_clock::now().time_since_epoch())};
     error_code error;
     socket_.open(to_.protocol(), error);
     if (!error) socket_.non_blocking(true, error);
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -73,6 +73,8 @@
     /// Looks whether the far side has closed it, or said what nobody asked for.
     bool seen_closed();
 
+    /// When it was asked to come up, in Unix time.
+    TimePoint opened_at() const { return opened_at_; }
     Steady::time_point rested_at() const { return rested_at_; }
     /// When its last answer was whole; long ago where it has had none.
     Steady::time_point answered_at() const { return answered_at_; }
@@ -124,6 +126,7 @@
     bool may_stream_ = false;
     std::uint64_t body_most_ = 0;
     std::shared_ptr<BodyStream> stream_;  // the rest of an answer that has been told
+    TimePoint opened_at_{};
     Steady::time_point began_at_{};       // when the answer's first byte came
     Steady::time_point asked_at_{};       // just before the request's first byte was written
     Steady::time_point answered_at_ = {};  // long ago
--- a/src/http/server_pool.cpp
+++ b/src/http/server_pool.cpp
@@ -81,6 +81,9 @@
             close_idle(entry.server);
             server.answers = 0;
         }
+        // Guards against connections of its earlier process: its machine may have vanished without a word.
+        if (entry.last_start && entry.last_start != server.last_start) close_idle_before(server, *entry.last_start);
+        server.last_start = entry.last_start;
         server.address = address;
         server.key = entry.key != 0 ? entry.key : entry.server;
         server.sendable = entry.phase == Phase::Ready || (entry.phase == Phase::Gone && !removal_binds_);
@@ -279,6 +282,14 @@
     server->idle.clear();
 }
 
+void ServerPool::close_idle_before(Server& server, TimePoint start) {
+    connections_ -= std::erase_if(server.idle, [start](const ConnectionPtr& connection) {
+        bool earlier = connection->opened_at() < start;
+        if (earlier) connection->close();
+        return earlier;
+    });
+}
+
 void ServerPool::by_hand(std::uint64_t key, bool out) {
     if (!out) return void(out_.erase(key));
     out_.insert(key);
--- a/src/http/server_pool.h
+++ b/src/http/server_pool.h
@@ -58,6 +58,7 @@
     struct Server {
         std::optional<Connection::Endpoint> address;
         bool sendable = false;            // listed, and neither draining nor gone
+        std::optional<TimePoint> last_start;
         std::uint64_t key = 0;            // what operators' words about it go by
         std::vector<ConnectionPtr> idle;  // the most recently used one last
         Duration shortest{};              // time to an answer's first byte, of those that nobody doubts
@@ -83,6 +84,7 @@
         return server && server->sendable && server->address == at && !out_.contains(server->key);
     }
     ConnectionPtr connection_to(ServerId id);
+    void close_idle_before(Server& server, TimePoint start);
     void give_back(ServerId id, const ConnectionPtr& connection, bool reusable);
     void attempt_done(AttemptId id, ServerId server, const ConnectionPtr& connection,
                       Connection::Result result, bool doubted);
--- a/tests/server_pool_test.cpp
+++ b/tests/server_pool_test.cpp
@@ -648,6 +648,40 @@
     expect_balance(rig, 0);
 }
 
+// Its machine may have vanished without a word: what is written to a connection of the earlier process ends as a reset at best.
+TEST(ServerPool, AServerThatHasStartedAnewGetsNothingOnAnEarlierConnection) {
+    Rig rig(always_rested());
+    auto list = [&](Duration start) {
+        Listing listing;
+        listing.update.kind = ListKind::Delta;
+        ListEntry& entry = listing.update.entries.emplace_back();
+        entry.server = Rig::kServer;
+        entry.last_start = TimePoint{start};
+        listing.addresses = {rig.door.address};
+        listing.ids = {"s"};
+        rig.servers.servers(listing);
+    };
+    auto now = [] { return Duration(std::chrono::system_clock::now().time_since_epoch()); };
+    Duration long_ago = now() - std::chrono::seconds(1);
+    FarPtr earlier = one_at_rest(rig);
+    list(long_ago);
+    expect_balance(rig, 1);  // it came up behind the start
+    usleep(20000);
+    Duration started = now();
+    usleep(20000);
+    list(started);
+    expect_balance(rig, 0);
+    rig.until([&] { return earlier->closed(); });
+    FarPtr later = one_at_rest(rig, 2);
+    list(started);
+    expect_balance(rig, 1);
+    rig.start(3);
+    rig.request_at(*later);
+    later->say(answer("three"));
+    EXPECT_EQ(rig.body(3), "three");
+    EXPECT_EQ(earlier->heard(), "");
+}
+
 // --- ends that meet the answer ---
 
 TEST(ServerPool, AStopOverAnUnreadAnswerEndsTheAttemptOnce) {
