Ask for the whole list behind an older revision, and not at once behind no news

Two crossings that no test forced. Changes alone behind a revision older than the one that was asked about mean that revisions have begun anew: the node took them, went on from there, and never asked for what had changed before.

The first is not taken now, and the whole list asked for. Behind an answer with nothing new the next call comes 100 ms behind the one before it at the soonest, which is the same watch by the protocol. An answer at the end of its wait, or with news, is followed at once as before.

--- a/lab/tests/watch_clocks_test.cpp
+++ b/lab/tests/watch_clocks_test.cpp
@@ -296,6 +296,43 @@
     EXPECT_EQ(fleet.calls - before, 16u);  // one for each wait of 3.6 s
 }
 
+// A discovery that ends watches at once, with nothing new, costs calls that bring nothing; the watch goes on all the same.
+TEST(Watching, AnswersWithNothingNewAreNotAskedForAtOnceForEver) {
+    for (std::uint64_t revision : {41, 41, 40}) {
+        Watch watch({}, 1);
+        TimePoint now = at(1000), wake = TimePoint::max(), answered{};
+        discovery::CallNo out = 0;
+        int calls = 0;
+        auto hand = [&](const discovery::WatchEvent& event) {
+            discovery::WatchActions actions;
+            watch.handle(now, event, actions);
+            for (const auto& action : actions) {
+                if (const auto* due = std::get_if<discovery::WatchWakeAt>(&action)) wake = due->at;
+                EXPECT_FALSE(std::holds_alternative<discovery::TellFailed>(action));
+                const auto* call = std::get_if<discovery::MakeCall>(&action);
+                if (call == nullptr) continue;
+                if (calls++ > 0) {
+                    EXPECT_LE(now - answered, Duration{150}) << "a call 200 ms later is no longer the same watch";
+                }
+                out = call->call;
+            }
+        };
+        hand(discovery::Known{41});
+        hand(discovery::Asked{});
+        while (now < at(2000)) {
+            if (out != 0) {
+                now += Duration{1}, answered = now;
+                hand(discovery::Answered{std::exchange(out, 0), revision, revision < 41 && calls % 2 == 0});
+            } else {
+                now = std::max(now, wake);
+                hand(discovery::WatchWoken{});
+            }
+            ASSERT_LT(calls, 30) << "in " << (now - at(1000)).count() << " ms";
+        }
+        EXPECT_GE(calls, 5);
+    }
+}
+
 TEST(Watching, AfterAMoveTheOldAddressCountsUntilTheNewOneHasAnswered) {
     Nodes fleet(1);
     fleet.run_to(at(1000));
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -8,6 +8,9 @@
 
 constexpr int kSpoiltMost = 3;        // answers in a row that cannot be read, before the module hears of it
 constexpr Duration kSpoiltAgain{50};  // least wait behind one
+// Least time from a call that has brought nothing new to the next: of a discovery that ends watches at once. Less than the
+// 200 ms after which a watch counts as another.
+constexpr Duration kNothingNew{100};
 
 }  // namespace
 
@@ -53,12 +56,19 @@
     if (e.call != out_ || out_ == 0) return;
     out_ = 0;
     drop(kept_);
+    bool news = !has_list_ || e.revision > revision_;
+    // Changes behind an older revision than the one that was asked about: revisions have begun anew, and what changed before
+    // it is not among them.
+    has_list_ = e.whole || !has_list_ || e.revision >= revision_;
     revision_ = e.revision;
-    has_list_ = true;
     spoilt_ = 0;
     silent_since_.reset();
-    call();  // at once: the watch goes on
-    actions_->emplace_back(TakeList{});
+    limit_ = TimePoint::max();
+    if (news || now_ >= began_ + kNothingNew)
+        call();  // at once: the watch goes on
+    else
+        again_ = began_ + kNothingNew;
+    if (has_list_) actions_->emplace_back(TakeList{});
 }
 
 void Watch::on(const Ended& e) {
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -39,6 +39,7 @@
 struct Answered {
     CallNo call = 0;
     std::uint64_t revision = 0;
+    bool whole = false;  ///< the list, not changes alone
 };
 enum class End {
     Refused,  ///< discovery, or its machine, said no: 503, a reset, a connection turned away
--- a/src/discovery/watcher.cpp
+++ b/src/discovery/watcher.cpp
@@ -132,7 +132,7 @@
         return;
     }
     if (result.reusable && here && !idle_) idle_ = std::move(connection);
-    happens(Answered{call, list.revision}, &list);
+    happens(Answered{call, list.revision, list.complete}, &list);
 }
 
 Listing Watcher::listing_of(const ServerList& list) {
