Read lists whose pieces come up to a second apart

A list of which nothing more came for 300 ms was taken for spoilt, three of them told the module that the call had failed, and so on: a list in pieces with longer pauses was never read.

Seen to fail with 300 ms: Watcher.AListInPiecesIsOne (pauses of 450 ms; a run in which the test itself stood still for 0.9 s starts over).

--- a/src/discovery/watcher.cpp
+++ b/src/discovery/watcher.cpp
@@ -19,6 +19,9 @@
 namespace {
 
 constexpr WatchSettings kWatch{};
+// Within a list that has begun. One may come in pieces, and machines stand still for up to 0.6 s; the watch's own clock
+// bounds the whole.
+constexpr std::chrono::milliseconds kPieceMost{1000};
 
 }  // namespace
 
@@ -91,7 +94,7 @@
         target += "?index=" + std::to_string(*call.index) + "&wait=" + std::to_string(std::int64_t(call.wait.count()));
     auto connection = std::exchange(idle_, nullptr);
     if (!connection || connection->seen_closed())
-        connection = std::make_shared<Connection>(io_, pool_, discovery_, kWatch.connect);
+        connection = std::make_shared<Connection>(io_, pool_, discovery_, kWatch.connect, kPieceMost);
     out_.push_back({call.call, connection});
     connection->exchange("GET " + target + " HTTP/1.1\r\nHost: discovery\r\n\r\n", nullptr,
                          [this, number = call.call](const std::shared_ptr<Connection>&, const Connection::Result& result) {
--- a/tests/watcher_test.cpp
+++ b/tests/watcher_test.cpp
@@ -162,6 +162,32 @@
     EXPECT_EQ(node.call_at(*far), watched(3));
 }
 
+// A list may come in pieces, with pauses as long as machines stand still.
+TEST(Watcher, AListInPiecesIsOne) {
+    bool stalled = true;  // this process did, for longer than any list may
+    for (int i = 0; stalled && i < 20; ++i) {
+        Node node;
+        FarPtr far = node.accept();
+        node.call_at(*far);
+        const std::string whole = list(42, false, member("b"));
+        stalled = false;
+        for (std::size_t at = 0; at < whole.size() && !stalled; at += 100) {
+            auto before = std::chrono::steady_clock::now();
+            if (at > 0) usleep(450000);
+            node.turn();
+            stalled = std::chrono::steady_clock::now() - before > std::chrono::milliseconds(900);
+            if (stalled) break;
+            ASSERT_FALSE(far->closed()) << "given up";
+            far->say(whole.substr(at, 100));
+            node.turn();
+        }
+        if (stalled) continue;
+        EXPECT_EQ(node.listed().update.kind, ListKind::Delta);
+        EXPECT_EQ(node.call_at(*far), watched(42));
+    }
+    EXPECT_FALSE(stalled);
+}
+
 TEST(Watcher, AListThatStopsIsAskedForAnew) {
     Node node;
     FarPtr far = node.accept();
