Give a server that is gone and back in one list a number of its own

A list that names an id as terminated and then as in service, as two changes, gave both entries the old number, and another one to the next list's entry: the module then knew one server as two, of which the first was never told to drain. Ids that have gone are forgotten entry by entry now.

Seen to fail without the mend: Watcher.AServerThatIsGoneAndBackInOneListIsAnotherFromThenOn.

--- a/src/discovery/watcher.cpp
+++ b/src/discovery/watcher.cpp
@@ -149,21 +149,19 @@
         entry.server = known->second;
         listing.addresses.push_back(member.address);
         listing.ids.push_back(member.id);
+        // At once: the same list may name another process under its id.
+        if (!gone_stays_ && member.entry.phase == Phase::Gone) ids_.erase(known);
     }
-    if (!gone_stays_) forget_gone(list);
+    if (!gone_stays_ && list.complete) forget_unnamed(list);
     return listing;
 }
 
 // Servers are replaced by new ones under new ids for as long as the node runs. One that comes back under an id
 // that had gone is another process.
-void Watcher::forget_gone(const ServerList& list) {
+void Watcher::forget_unnamed(const ServerList& list) {
     std::unordered_set<std::string_view> named;
-    for (const ServerList::Member& member : list.members)
-        if (member.entry.phase != Phase::Gone)
-            named.insert(member.id);
-        else
-            ids_.erase(member.id);
-    if (list.complete) std::erase_if(ids_, [&](const auto& id) { return !named.contains(id.first); });
+    for (const ServerList::Member& member : list.members) named.insert(member.id);
+    std::erase_if(ids_, [&](const auto& id) { return !named.contains(id.first); });
 }
 
 }  // namespace ochrehub::discovery
--- a/src/discovery/watcher.h
+++ b/src/discovery/watcher.h
@@ -45,7 +45,7 @@
     void drop(CallNo call);
     void ended(CallNo call, const http::Connection::Result& result);
     Listing listing_of(const ServerList& list);
-    void forget_gone(const ServerList& list);
+    void forget_unnamed(const ServerList& list);
 
     boost::asio::io_context& io_;
     Scheduler& scheduler_;
--- a/tests/watcher_test.cpp
+++ b/tests/watcher_test.cpp
@@ -133,6 +133,21 @@
     EXPECT_EQ(listing.update.entries[0].last_start, TimePoint{Duration{1700000000000.0}});
 }
 
+TEST(Watcher, AServerThatIsGoneAndBackInOneListIsAnotherFromThenOn) {
+    Node node;
+    FarPtr far = node.accept();
+    node.call_at(*far);
+    far->say(list(42, false, member("a", "terminated") + "," + member("a")));
+    Listing listing = node.listed();
+    ASSERT_EQ(listing.update.entries.size(), 2u);
+    EXPECT_EQ(listing.update.entries[0].server, 1u);
+    ServerId back = listing.update.entries[1].server;
+    EXPECT_NE(back, 1u);
+    node.call_at(*far);
+    far->say(list(43, false, member("a", "terminating")));
+    EXPECT_EQ(node.listed().update.entries[0].server, back) << "its drain would be another's";
+}
+
 TEST(Watcher, WhatAWholeListLeavesOutComesBackAsAnother) {
     Node node;
     FarPtr far = node.accept();
