Leave 150 ms between the rest of a connection and its close by its server

The margin was 0.15 of the servers' idle time, 15 ms where that is 100 ms, for the way there and a loop that is behind, which do not shrink with it. A request written behind the close ends as a reset.

Connections now rest for the smaller of 0.85 of the idle time and that time less 150 ms, for half of it at the least.

Seen to fail with 0.85: ServerPool.AConnectionIsNotUsedShortlyBeforeItsServerClosesIt.

--- a/src/http/server_pool.cpp
+++ b/src/http/server_pool.cpp
@@ -15,9 +15,14 @@
 
 namespace {
 
-constexpr double kIdlePart = 0.85;  // of the time after which servers close an idle connection
 constexpr std::chrono::milliseconds kSweep{250};
 
+/// How long a connection may rest that servers close behind `conn_idle`: the way there and a loop that is behind lie between
+/// the look and the request.
+Duration idle_most(Duration conn_idle) {
+    return std::max(0.5 * conn_idle, std::min(0.85 * conn_idle, conn_idle - std::chrono::milliseconds(150)));
+}
+
 LoadReport report_of(const HttpMessage& answer) {
     std::string_view text = answer.header("Endpoint-Load-Metrics");
     if (text.empty()) return {};
@@ -59,7 +64,7 @@
       pool_(pool),
       events_(events),
       connect_timeout_(settings.connect_timeout),
-      idle_most_(settings.conn_idle * kIdlePart),
+      idle_most_(idle_most(settings.conn_idle)),
       removal_binds_(!settings.removal_not_binding),
       most_connections_(most_connections),
       manner_(manner),
--- a/tests/server_pool_test.cpp
+++ b/tests/server_pool_test.cpp
@@ -682,6 +682,22 @@
     EXPECT_EQ(earlier->heard(), "");
 }
 
+// Short idle times: what lies between the look and the request takes no part of them, but a time of its own.
+TEST(ServerPool, AConnectionIsNotUsedShortlyBeforeItsServerClosesIt) {
+    Settings set = Rig::settings();
+    set.conn_idle = milliseconds(400);
+    Rig rig(always_rested(), set);
+    FarPtr far = one_at_rest(rig);
+    usleep(260000);  // 0.65 of it, and 140 ms before its end
+    rig.start(2);
+    FarPtr other = rig.accept();
+    rig.request_at(*other);
+    other->say(answer("two"));
+    EXPECT_EQ(rig.body(2), "two");
+    EXPECT_TRUE(far->closed());
+    EXPECT_EQ(far->heard(), "");
+}
+
 // --- ends that meet the answer ---
 
 TEST(ServerPool, AStopOverAnUnreadAnswerEndsTheAttemptOnce) {
