Bound an answer that stops by its request's time, before and behind its first part

An answer that had begun was given up 300 ms behind its last byte, though servers stand still for up to 600 ms: that helps only a request that may go elsewhere in time. And one that had been passed on in part held its client for 15 s behind a silent server, for as long as it liked behind one that trickled, where an end must come within half a second of its time.

The engine now says of an attempt whether its request may be sent again. If not, its answer has all of its time; else the larger of 300 ms and a quarter of it. One passed on in part ends at its request's time and 400 ms, unless its reader has held it up: then each further byte has 300 ms at the least. Off the platform `answer_ms` counts as it is told, for parts as well, where those had 15 s.

Changed in existing tests: AnAnswerThatStopsIsAnErrorInItsTime and AnAnswerThatGoesOnInTheTurnInWhichItsTimeEndsIsReadOn set `answer_by_request` to false, since what they force is the limit as it is set; their checks are the same.

--- a/lab/tests/engine_test.cpp
+++ b/lab/tests/engine_test.cpp
@@ -218,6 +218,21 @@
     EXPECT_FALSE(rig.engine.wanted({rig.ids[0], 2})) << "there is none";
 }
 
+TEST(Engine, SaysOfEachAttemptWhetherItsRequestMayBeSentAgain) {
+    Rig rig(2);
+    rig.servers.fate = [](AttemptId) { return std::pair(Outcome::Ok, 50.0); };
+    for (int cls : {0, 1, 2}) rig.ask(cls, 500);  // free, single_shot, guarded
+    rig.run_to(10);
+    EXPECT_TRUE(rig.engine.may_repeat({rig.ids[0], 0}));
+    EXPECT_TRUE(rig.engine.may_repeat({rig.ids[0], 1}));
+    EXPECT_FALSE(rig.engine.may_repeat({rig.ids[0], 2})) << "of three";
+    EXPECT_FALSE(rig.engine.may_repeat({rig.ids[1], 0}));
+    EXPECT_TRUE(rig.engine.may_repeat({rig.ids[2], 0}));
+    EXPECT_FALSE(rig.engine.may_repeat({99, 0}));
+    rig.run_to(400);
+    EXPECT_FALSE(rig.engine.may_repeat({rig.ids[0], 0})) << "over";
+}
+
 // A list of servers that drain or are gone serves nobody.
 TEST(Engine, HasServersOnceOneIsReady) {
     Rig rig(0);
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -8,7 +8,9 @@
 namespace ochrehub {
 
 Engine::Engine(Scheduler& scheduler, const Settings& settings, std::uint64_t seed)
-    : scheduler_(scheduler), balancer_(settings, seed), grace_(settings.grace_to_answer) {}
+    : scheduler_(scheduler), balancer_(settings, seed), grace_(settings.grace_to_answer), max_attempts_(settings.max_attempts) {
+    for (const ClassSettings& c : settings.classes) repeatable_.push_back(c.effect != Effect::SingleShot);
+}
 
 // Where a node goes and its scheduler stays, nothing that it armed may run.
 Engine::~Engine() {
@@ -28,6 +30,8 @@
     request.message = std::move(call.message);
     request.give_up_at = call.request.give_up_at;
     request.uploading = call.request.uploading;
+    std::size_t cls = std::size_t(call.request.class_index);
+    request.repeatable = cls >= repeatable_.size() || repeatable_[cls];
     ++unanswered_;
     if (!request.uploading) limit(request);
     call.request.request = id;
@@ -186,6 +190,11 @@
     return (request->uploading || scheduler_.now() < by) && still_wanted(*request);
 }
 
+bool Engine::may_repeat(AttemptId id) {
+    Request* request = find(id.request);
+    return request && request->repeatable && id.attempt + 1 < max_attempts_;
+}
+
 void Engine::forward(const Forward& action) {
     Request* request = find(action.request);
     if (!request) return;
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -47,6 +47,7 @@
     /// It may still be written: its request is unanswered, its time and the window for a repeat are not over, and its
     /// caller is not gone; where that is, the request departs.
     bool wanted(AttemptId id) override;
+    bool may_repeat(AttemptId id) override;
     void attempt_ended(AttemptId id, AttemptResult result) override;
     void probe_ended(ServerId server, Duration elapsed, Outcome outcome, LoadReport report) override;
 
@@ -75,6 +76,7 @@
         bool answered = false;
         bool timed_out = false;
         bool uploading = false;
+        bool repeatable = true;
         TimerId overdue = 0;
     };
 
@@ -95,6 +97,8 @@
     Scheduler& scheduler_;
     Balancer balancer_;
     Duration grace_;
+    std::vector<bool> repeatable_;  // of each class: what may have run may be sent again
+    int max_attempts_;
     Upstream* upstream_ = nullptr;
     Counters* counters_ = nullptr;
     Registry* registry_ = nullptr;
--- a/src/engine/types.h
+++ b/src/engine/types.h
@@ -70,6 +70,8 @@
     /// Somebody still waits for this attempt, and it may still be written. Asked once its connection is up, which may be
     /// long after its start, and before each further write of what was not written at once.
     virtual bool wanted(AttemptId /*id*/) { return true; }
+    /// Its request may be sent again where this attempt ends without an answer, though it may have run.
+    virtual bool may_repeat(AttemptId /*id*/) { return true; }
     virtual void attempt_ended(AttemptId id, AttemptResult result) = 0;
     virtual void probe_ended(ServerId server, Duration elapsed, Outcome outcome, LoadReport report) = 0;
 };
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -1,5 +1,6 @@
 #include "http/connection.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -17,7 +18,8 @@
 
 constexpr int kInterimMost = 16;
 constexpr std::chrono::milliseconds kHoldMost{50};  // a long answer, or one of unknown length, before it is passed on
-constexpr std::chrono::milliseconds kStreamMost{15000};  // no further byte of one that has been passed on in part
+// For a further byte of one that has been passed on in part, behind its time, where whoever takes it was the slow one.
+constexpr Connection::Steady::duration kHeldUp = std::chrono::milliseconds(300);
 constexpr std::chrono::milliseconds kDryRest{20};
 
 /// A kernel that cannot stamp leaves open when bytes came: then they came when they are read.
@@ -144,7 +146,7 @@
     switch (outgoing_.next()) {
         case Outgoing::Next::Over:
             written_ = true;
-            if (on_written_) on_written_();
+            if (auto told = std::exchange(on_written_, nullptr)) told();
             return watched_ ? void() : wait_for_answer();
         case Outgoing::Next::Piece:
             return write_on();
@@ -203,7 +205,7 @@
         if (!parse(over) || turn != turn_ || over) return;
     }
     if (unread_.view().empty()) unread_.release();
-    if (parser_->got_some()) limit_answer();
+    if (parser_->got_some() && !expect_more()) return;
     wait_for_answer();
 }
 
@@ -222,6 +224,7 @@
         bool full = bad == boost::beast::http::error::need_buffer;
         if (full && stream_) {
             disarm();  // whoever takes it is slow, not the server
+            held_up_ = true;
             stream_->wait_for_room([self = shared_from_this(), turn = turn_] {
                 if (turn != self->turn_) return;
                 bool ended = false;
@@ -297,6 +300,7 @@
 
 void Connection::begin_stream() {
     writing_ = false;  // nothing more of the request, if it is not whole: nobody reads its rest
+    held_up_ = false;
     stream_ = std::make_shared<BodyStream>(io_, pool_);
     parser_->pass_rest_to(stream_);
     stream_->when_abandoned([self = shared_from_this(), turn = turn_] {
@@ -309,6 +313,7 @@
     result.unasked = unasked_;
     result.took = took_;
     outgoing_.clear();
+    on_written_ = nullptr;
     more_ = nullptr;
     tell(std::move(result));
 }
@@ -330,9 +335,18 @@
     if (Streamed streamed = std::exchange(streamed_, nullptr)) streamed(shared_from_this(), reusable);
 }
 
-void Connection::limit_answer() {
-    if (answer_most_.count() == 0) return;
-    arm(stream_ ? kStreamMost : answer_most_, [this] { finish(End::Garbage); });
+/// False: its time is over, and so is the exchange.
+bool Connection::expect_more() {
+    Steady::duration most = answer_most_;
+    if (stream_ && stream_by_) {
+        auto left = *stream_by_ - Steady::now();
+        if (left.count() <= 0 && !held_up_) return finish(End::Garbage), false;
+        most = held_up_ ? std::max(left, std::max(answer_most_, kHeldUp)) : left;
+    } else if (most.count() == 0) {
+        return true;
+    }
+    arm(most, [this] { finish(End::Garbage); });
+    return true;
 }
 
 void Connection::finish(End end, bool reusable) {
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -60,6 +60,13 @@
         may_stream_ = true;
         body_most_ = body_most;
     }
+    /// Of the next exchange's answer, in place of what the connection was made with. Once it has been passed on in part it ends
+    /// at `stream_by`, if there is one, whole or not: but one that whoever reads it has held up may go on, each byte in time.
+    void limit_answer(Steady::duration most, std::optional<Steady::time_point> stream_by) {
+        answer_most_ = most;
+        stream_by_ = stream_by;
+    }
+    void stream_to(Steady::time_point stream_by) { stream_by_ = stream_by; }
     void when_streamed(Streamed streamed) { streamed_ = std::move(streamed); }
 
     /// Ends it at once. True if a request had been written whole.
@@ -99,7 +106,7 @@
     bool stream_due() const;
     void begin_stream();
     void end_stream(bool whole, bool reusable);
-    void limit_answer();
+    bool expect_more();
     void expect_answer();
     bool came_too_soon(Duration age);
     bool may_be_other();
@@ -113,7 +120,9 @@
     std::uint64_t armed_ = 0;          // a wait of an earlier arming does nothing
     Endpoint to_;
     Duration connect_timeout_;
-    std::chrono::milliseconds answer_most_;
+    Steady::duration answer_most_;
+    std::optional<Steady::time_point> stream_by_;
+    bool held_up_ = false;  // a stream, by its reader
     bool ends_whole_;
     bool head_only_ = false;  // what was asked for has no body
     Outgoing outgoing_;
--- a/src/http/manner.cpp
+++ b/src/http/manner.cpp
@@ -43,11 +43,16 @@
                 {{"all", Manner::Pass::All},
                  {"below_500", Manner::Pass::Below500},
                  {"200", Manner::Pass::Only200}}),
-            time({.name = "answer_ms",
-                  .fallback = "0",
-                  .help = "longest time without a further byte of an answer that has begun; 0: the request's own "
-                          "time"},
-                 &Manner::answer_most, 0),
+            config::number<Manner, double>(
+                {.name = "answer_ms",
+                 .fallback = "0",
+                 .help = "longest time without a further byte of an answer that has begun; 0: the request's own "
+                         "time"},
+                0, kHour, config::kMilliseconds,
+                [](Manner& manner, double ms) {
+                    manner.answer_most = std::chrono::milliseconds(std::chrono::milliseconds::rep(ms));
+                    manner.answer_by_request = false;
+                }),
             config::number({.name = "body_mb", .fallback = "0", .help = "longest body either way; 0: any"},
                            &Manner::body_mb, 0, 1000000),
             time({.name = "client_idle_ms",
--- a/src/http/server_pool.cpp
+++ b/src/http/server_pool.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kSweep{250};
+// Behind a request's time, an answer of which a part has been passed on: its end must be there within half a second.
+constexpr std::chrono::milliseconds kStreamOver{400};
 
 /// How long a connection may rest that servers close behind `conn_idle`: the way there and a loop that is behind lie between
 /// the look and the request.
@@ -23,6 +25,17 @@
     return std::max(0.5 * conn_idle, std::min(0.85 * conn_idle, conn_idle - std::chrono::milliseconds(150)));
 }
 
+Connection::Steady::duration span(Duration time) {
+    return std::chrono::duration_cast<Connection::Steady::duration>(time);
+}
+
+/// When the time of a request that was given at `began` began to run; none: its body is still to come.
+std::optional<Connection::Steady::time_point> time_of(const HttpMessage& request, Connection::Steady::time_point began) {
+    if (!request.rest) return began;
+    auto ended = request.rest->stream().ended_at();
+    return ended ? std::optional(std::max(began, *ended)) : std::nullopt;
+}
+
 LoadReport report_of(const HttpMessage& answer) {
     std::string_view text = answer.header("Endpoint-Load-Metrics");
     if (text.empty()) return {};
@@ -175,12 +188,18 @@
     // The time of one whose body is still to come begins with its end.
     auto head = [this, id, to, at = connection->to(), request, began, patience]() -> std::optional<std::string> {
         if (!may_send(to, at) || !events_.wanted(id)) return std::nullopt;
-        auto whole = request->rest ? request->rest->stream().ended_at() : began;
-        if (!whole) return request_head(*request, patience);
-        Duration left = patience - (Connection::Steady::now() - std::max(began, *whole));
+        auto from = time_of(*request, began);
+        if (!from) return request_head(*request, patience);
+        Duration left = patience - (Connection::Steady::now() - *from);
         return left.count() > 0 ? std::optional(request_head(*request, left)) : std::nullopt;
     };
     connection->let_stream(manner_.body_bytes());
+    if (manner_.answer_by_request) {
+        auto most = std::max<Connection::Steady::duration>(manner_.answer_most, span(patience / 4));
+        connection->limit_answer(events_.may_repeat(id) ? most : span(Duration{0}), began + span(patience) + kStreamOver);
+    } else {
+        connection->limit_answer(manner_.answer_most, std::nullopt);
+    }
     // Guards rule 2: a repeat whose last byte would be written behind its window.
     connection->ask_before_more([this, id] { return events_.wanted(id); });
     bool doubted = connection->doubted();
@@ -189,8 +208,10 @@
         [this, id, to, doubted](const ConnectionPtr& used, Connection::Result result) {
             attempt_done(id, to, used, std::move(result), doubted);
         },
-        [this] {
+        [this, request, began, patience, used = connection.get()] {
             if (counters_) counters_->sends.add();
+            if (request->rest && manner_.answer_by_request)
+                used->stream_to(time_of(*request, began).value_or(began) + span(patience) + kStreamOver);
         });
 }
 
@@ -266,6 +287,7 @@
         --connections_;
         events_.probe_ended(to, took(), written ? Outcome::Timeout : Outcome::ConnectFailed, {});
     });
+    connection->limit_answer(manner_.answer_most, std::nullopt);
     connection->exchange(
         "GET " + manner_.probe_path + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n", nullptr,
         [this, to, took, timer](const ConnectionPtr& used, const Connection::Result& result) {
--- a/tests/server_peer.h
+++ b/tests/server_peer.h
@@ -115,11 +115,13 @@
 
 struct Events : UpstreamEvents {
     std::function<bool(AttemptId)> asked = [](AttemptId) { return true; };
+    std::function<bool(AttemptId)> repeatable = [](AttemptId) { return true; };
     std::function<void(AttemptId)> ended = [](AttemptId) {};
     std::map<RequestId, std::vector<AttemptResult>> results;
     std::vector<Outcome> probes;
 
     bool wanted(AttemptId id) override { return asked(id); }
+    bool may_repeat(AttemptId id) override { return repeatable(id); }
     void attempt_ended(AttemptId id, AttemptResult result) override {
         results[id.request].push_back(std::move(result));
         ended(id);
--- a/tests/server_pool_test.cpp
+++ b/tests/server_pool_test.cpp
@@ -449,6 +449,7 @@
 TEST(ServerPool, AnAnswerThatStopsIsAnErrorInItsTime) {
     http::Manner manner;
     manner.answer_most = milliseconds(50);
+    manner.answer_by_request = false;
     Rig rig({}, Rig::settings(), 64, manner);
     rig.start(1);
     FarPtr far = rig.accept();
@@ -458,9 +459,42 @@
     expect_balance(rig, 0);
 }
 
+// Servers stand still for longer than `answer_most`, and giving an answer up helps only a request that may go elsewhere in time.
+TEST(ServerPool, AnAnswerMayStopForAQuarterOfItsRequestsTime) {
+    http::Manner manner;
+    manner.answer_most = milliseconds(20);
+    Rig rig({}, Rig::settings(), 64, manner);
+    rig.start(1, std::chrono::seconds(4));
+    FarPtr far = rig.accept();
+    rig.request_at(*far);
+    auto said = std::chrono::steady_clock::now();
+    far->say("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+    EXPECT_EQ(rig.outcome(1), Outcome::Error);
+    EXPECT_GE(std::chrono::steady_clock::now() - said, milliseconds(1000));
+    expect_balance(rig, 0);
+}
+
+TEST(ServerPool, AnAnswerToWhatMayNotBeSentAgainMayStopForAllItsTime) {
+    http::Manner manner;
+    manner.answer_most = milliseconds(20);
+    Rig rig({}, Rig::settings(), 64, manner);
+    rig.events.repeatable = [](AttemptId id) { return id.request != 1; };
+    rig.start(1, milliseconds(40));
+    FarPtr far = rig.accept();
+    rig.request_at(*far);
+    far->say("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\none");
+    rig.turn();
+    usleep(60000);
+    rig.turn();
+    ASSERT_TRUE(rig.events.results[1].empty());
+    far->say("more");
+    EXPECT_EQ(rig.body(1), "onemore");
+}
+
 TEST(ServerPool, AnAnswerThatGoesOnInTheTurnInWhichItsTimeEndsIsReadOn) {
     http::Manner manner;
     manner.answer_most = milliseconds(1000);
+    manner.answer_by_request = false;
     Rig rig({}, Rig::settings(), 64, manner);
     rig.start(1);
     FarPtr far = rig.accept();
@@ -742,6 +776,97 @@
     expect_balance(rig, 0);
 }
 
+/// Begins a stream: 70,000 bytes of an answer of 100,000.
+http::BodyStream& streaming(Rig& rig, Far& far) {
+    rig.request_at(far);
+    far.say("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + std::string(70000, 'a'));
+    EXPECT_EQ(rig.outcome(1), Outcome::Ok);
+    return std::static_pointer_cast<const http::HttpMessage>(rig.result(1).message)->rest->stream();
+}
+
+// Its client has a part, and must hear of the end within half a second of its time.
+TEST(ServerPool, AStreamThatFallsSilentOrTricklesIsBrokenBehindItsRequestsTime) {
+    for (bool trickles : {false, true}) {
+        Rig rig;
+        auto began = std::chrono::steady_clock::now();
+        rig.start(1, milliseconds(300));
+        FarPtr far = rig.accept();
+        http::BodyStream& rest = streaming(rig, *far);
+        auto next = began;
+        rig.until([&] {
+            rest.drop(rest.view().size());
+            auto now = std::chrono::steady_clock::now();
+            if (trickles && now >= next && !rest.broken()) {
+                send(far->fd(), "a", 1, MSG_NOSIGNAL);
+                next = now + milliseconds(1);
+            }
+            return rest.broken();
+        });
+        EXPECT_GE(std::chrono::steady_clock::now() - began, milliseconds(700));
+        expect_balance(rig, 0);
+    }
+}
+
+TEST(ServerPool, AStreamMayStopWhileItsRequestHasTime) {
+    http::Manner manner;
+    manner.answer_most = milliseconds(20);
+    Rig rig({}, Rig::settings(), 64, manner);
+    rig.start(1);
+    FarPtr far = rig.accept();
+    http::BodyStream& rest = streaming(rig, *far);
+    rest.drop(rest.view().size());
+    rig.turn();
+    usleep(60000);
+    rig.turn();
+    far->say(std::string(30000, 'a'));
+    rig.until([&] {
+        rest.drop(rest.view().size());
+        return rest.over() || rest.broken();
+    });
+    EXPECT_TRUE(rest.over());
+}
+
+// Not the server's fault: its client has taken its time.
+TEST(ServerPool, AStreamThatItsReaderHasHeldUpGoesOnBehindItsRequestsTime) {
+    Rig rig;
+    rig.start(1, milliseconds(100));
+    FarPtr far = rig.accept();
+    rig.request_at(*far);
+    far->say("HTTP/1.1 200 OK\r\nContent-Length: 250000\r\n\r\n" + std::string(200000, 'a'));
+    EXPECT_EQ(rig.outcome(1), Outcome::Ok);
+    http::BodyStream& rest = std::static_pointer_cast<const http::HttpMessage>(rig.result(1).message)->rest->stream();
+    rig.until([&] { return rest.view().size() == BufferPool::kSize; });
+    rig.turn();
+    usleep(600000);
+    std::size_t taken = 0;
+    bool said = false;
+    rig.until([&] {
+        taken += rest.view().size();
+        rest.drop(rest.view().size());
+        if (taken >= 200000 - 2 * BufferPool::kSize && !std::exchange(said, true)) far->say(std::string(50000, 'a'));
+        return rest.over() || rest.broken();
+    });
+    EXPECT_TRUE(rest.over());
+}
+
+// The end of its time moves with the end of its body.
+TEST(ServerPool, AStreamThatAnswersAnUploadEndsBehindThatOnesTime) {
+    Rig rig;
+    auto stream = std::make_shared<http::BodyStream>(rig.io, rig.pool);
+    rig.start(1, longer(1, stream, 10), milliseconds(200));
+    FarPtr far = rig.accept();
+    usleep(300000);
+    rig.turn();
+    auto ended = std::chrono::steady_clock::now();
+    stream->end();
+    http::BodyStream& rest = streaming(rig, *far);
+    rig.until([&] {
+        rest.drop(rest.view().size());
+        return rest.broken();
+    });
+    EXPECT_GE(std::chrono::steady_clock::now() - ended, milliseconds(600));
+}
+
 TEST(ServerPool, AStreamThatIsCutIsBroken) {
     for (Then then : {Then::End, Then::Reset}) {
         Rig rig;
