Force the endings of attempts and connections that had no test

Rows of docs/design/endings.md that said so: a server out by hand while it connects, an upload that its client breaks off, a doubted answer ahead of its request's end, interim answers at long intervals, a probe's long answer, the oldest idle connection that makes room.

--- a/tests/server_pool_test.cpp
+++ b/tests/server_pool_test.cpp
@@ -114,6 +114,36 @@
     expect_balance(rig, 0);
 }
 
+// It cannot be this one's, and so is another's: but one that never ran is true whichever it is, as long as the rest is not written.
+TEST(ServerPool, ADoubtedAnswerAheadOfItsRequestsEndIsNone) {
+    const std::string never_ran = "HTTP/1.1 503 x\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n";
+    enum class Said { Ok, NeverRan, NeverRanWithTheRestBetween };
+    for (Said said : {Said::Ok, Said::NeverRan, Said::NeverRanWithTheRestBetween}) {
+        http::Reuse reuse = never_rested();
+        reuse.spare_part = 0;
+        Rig rig(reuse);
+        FarPtr far = one_at_rest(rig);
+        auto stream = std::make_shared<http::BodyStream>(rig.io, rig.pool);
+        rig.start(2, longer(2, stream, 10));
+        rig.request_at(*far);
+        std::size_t first = said == Said::NeverRanWithTheRestBetween ? 12 : never_ran.size();
+        far->say(said == Said::Ok ? answer("one") : never_ran.substr(0, first));
+        if (said == Said::NeverRanWithTheRestBetween) {
+            rig.turn();
+            stream->put("the end");
+            stream->end();
+            rig.until([&] { return far->heard().ends_with("the end"); });
+            rig.turn();
+            far->say(never_ran.substr(first));
+        }
+        EXPECT_EQ(rig.outcome(2), said == Said::NeverRan ? Outcome::Full : Outcome::Error);
+        EXPECT_EQ(rig.body(2), "(none)");
+        rig.turn();
+        EXPECT_EQ(rig.events.results[2].size(), 1u);
+        expect_balance(rig, 0);
+    }
+}
+
 TEST(ServerPool, AConnectionThatHasNotRestedIsSparedForFewHandshakes) {
     http::Reuse reuse = never_rested();
     reuse.spare_part = 1.0 / 8;
@@ -337,6 +367,19 @@
     expect_balance(rig, 0);
 }
 
+TEST(ServerPool, AServerOutByHandWhileItConnectsGetsNothing) {
+    Rig rig;
+    rig.start(1);
+    FarPtr far = rig.door.accept();
+    rig.servers.by_hand(Rig::kServer, true);
+    EXPECT_EQ(rig.outcome(1), Outcome::Moot);
+    EXPECT_EQ(far->heard(), "");
+    expect_balance(rig, 0);
+    rig.servers.by_hand(Rig::kServer, false);
+    one_at_rest(rig, 2);
+    expect_balance(rig, 1);
+}
+
 TEST(ServerPool, AServerThatLeavesKeepsWhatIsOutAndNoMore) {
     Rig rig;
     FarPtr rests = one_at_rest(rig);
@@ -511,6 +554,66 @@
     EXPECT_EQ(rig.body(1), "onetwosix");
 }
 
+// They are bounded by the attempt's own time, and the time for more of an answer is not theirs.
+TEST(ServerPool, InterimAnswersMayTakeAsLongAsTheAttempt) {
+    http::Manner manner;
+    manner.answer_most = milliseconds(20);
+    manner.answer_by_request = false;
+    Rig rig(always_rested(), Rig::settings(), 64, manner);
+    rig.start(1);
+    FarPtr far = rig.accept();
+    rig.request_at(*far);
+    for (int i = 0; i < 3; ++i) {
+        far->say("HTTP/1.1 102 Processing\r\n\r\n");
+        rig.turn();
+        usleep(40000);
+        rig.turn();
+        ASSERT_TRUE(rig.events.results[1].empty());
+    }
+    far->say(answer("one"));
+    EXPECT_EQ(rig.body(1), "one");
+    rig.start(2);
+    rig.request_at(*far);
+    far->say("HTTP/1.1 102 Processing\r\n\r\n");
+    rig.turn();
+    EXPECT_TRUE(rig.servers.stop({2, 0}));
+    expect_balance(rig, 0);
+}
+
+TEST(ServerPool, AProbeEndsInItsTimeWhateverInterimAnswersItHas) {
+    Rig rig;
+    rig.servers.probe(Rig::kServer, milliseconds(300));
+    FarPtr far = rig.accept();
+    rig.request_at(*far);
+    const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+    for (int i = 0; i < 4; ++i) {
+        send(far->fd(), interim.data(), interim.size(), MSG_NOSIGNAL);  // its time may be over on a busy machine
+        rig.turn();
+    }
+    rig.until([&] { return !rig.events.probes.empty(); });
+    EXPECT_EQ(rig.events.probes, (std::vector<Outcome>{Outcome::Timeout}));
+    rig.turn();
+    EXPECT_EQ(rig.events.probes.size(), 1u);
+    expect_balance(rig, 0);
+}
+
+TEST(ServerPool, AProbesLongAnswerCountsByItsStatusAlone) {
+    for (bool by_status : {false, true})
+        for (int status : {200, 503}) {
+            http::Manner manner;
+            manner.probes_by_status = by_status;
+            Rig rig({}, Rig::settings(), 64, manner);
+            rig.servers.probe(Rig::kServer, std::chrono::seconds(60));
+            FarPtr far = rig.accept();
+            rig.request_at(*far);
+            far->say("HTTP/1.1 " + std::to_string(status) + " x\r\nContent-Length: 100000\r\n\r\n" + std::string(100000, 'a'));
+            rig.until([&] { return !rig.events.probes.empty(); });
+            EXPECT_EQ(rig.events.probes, (std::vector<Outcome>{by_status && status == 200 ? Outcome::Ok : Outcome::Error}));
+            rig.turn();
+            expect_balance(rig, 0);
+        }
+}
+
 // --- requests that break off ---
 
 TEST(ServerPool, ARequestThatBreaksBeforeItsLastByteNeverRan) {
@@ -571,6 +674,25 @@
     expect_balance(rig, 0);
 }
 
+TEST(ServerPool, AnUploadThatItsClientBreaksOffNeverRan) {
+    for (bool more : {false, true}) {
+        Rig rig;
+        auto stream = std::make_shared<http::BodyStream>(rig.io, rig.pool);
+        rig.start(1, longer(1, stream, 10));
+        FarPtr far = rig.accept();
+        rig.request_at(*far);
+        rig.turn();  // waits for more
+        if (more) stream->put("more");
+        stream->break_off();
+        EXPECT_EQ(rig.outcome(1), Outcome::ConnectFailed);
+        rig.until([&] { return far->closed(); });
+        EXPECT_EQ(far->heard(), std::string(10, 'r') + (more ? "more" : ""));
+        rig.turn();
+        EXPECT_EQ(rig.events.results[1].size(), 1u);
+        expect_balance(rig, 0);
+    }
+}
+
 TEST(ServerPool, AResetThatAWriteIsToldOfIsNoEndOfAnAnswer) {
     Rig rig;
     auto stream = std::make_shared<http::BodyStream>(rig.io, rig.pool);
@@ -682,6 +804,42 @@
     expect_balance(rig, 0);
 }
 
+TEST(ServerPool, TheConnectionThatHasRestedLongestMakesRoom) {
+    Rig rig(always_rested(), Rig::settings(), 2);
+    Door second;
+    Listing both;
+    both.update.kind = ListKind::Full;
+    for (ServerId id : {Rig::kServer, Rig::kServer + 1}) both.update.entries.emplace_back().server = id;
+    both.addresses = {rig.door.address, second.address};
+    both.ids = {"s", "t"};
+    rig.servers.servers(both);
+    auto start = [&](RequestId id) { rig.servers.start({id, 0}, Rig::kServer + 1, Rig::request(id), std::chrono::seconds(60)); };
+    auto at_second = [&] {
+        rig.until([&] { return second.knocked(); });
+        return second.accept();
+    };
+    FarPtr oldest = one_at_rest(rig);
+    start(2);
+    FarPtr used = at_second();
+    rig.request_at(*used);
+    used->say(answer("two"));
+    EXPECT_EQ(rig.body(2), "two");
+    start(3);  // on the one that rests there
+    rig.request_at(*used);
+    start(4);  // for which there is no room
+    FarPtr fresh = at_second();
+    rig.request_at(*fresh);
+    rig.until([&] { return oldest->closed(); });
+    EXPECT_EQ(rig.servers.connections(), 2u);
+    rig.start(5);  // nothing rests, and what is out is not touched
+    EXPECT_EQ(rig.outcome(5), Outcome::ConnectFailed);
+    used->say(answer("three"));
+    fresh->say(answer("four"));
+    EXPECT_EQ(rig.body(3), "three");
+    EXPECT_EQ(rig.body(4), "four");
+    EXPECT_EQ(rig.servers.connections(), 2u);
+}
+
 // Its machine may have vanished without a word: what is written to a connection of the earlier process ends as a reset at best.
 TEST(ServerPool, AServerThatHasStartedAnewGetsNothingOnAnEarlierConnection) {
     Rig rig(always_rested());
