--- a/src/discovery/watcher.cpp
+++ b/src/discovery/watcher.cpp
@@ -19,6 +19,9 @@
 namespace {
 
 constexpr WatchSettings kWatch{};
+// Within a list that has begun. One may come in pieces, and machines stand still for up to 0.6 s; the watch's own clock
+// bounds the whole.
+constexpr std::chrono::milliseconds kPieceMost{1000};
 
 }  // namespace
 
@@ -91,7 +94,7 @@
         target += "?index=" + std::to_string(*call.index) + "&wait=" + std::to_string(std::int64_t(call.wait.count()));
     auto connection = std::exchange(idle_, nullptr);
     if (!connection || connection->seen_closed())
-        connection = std::make_shared<Connection>(io_, pool_, discovery_, kWatch.connect);
+        connection = std::make_shared<Connection>(io_, pool_, discovery_, kWatch.connect, kPieceMost);
     out_.push_back({call.call, connection});
     connection->exchange("GET " + target + " HTTP/1.1\r\nHost: discovery\r\n\r\n", nullptr,
                          [this, number = call.call](const std::shared_ptr<Connection>&, const Connection::Result& result) {
@@ -132,7 +135,7 @@
         return;
     }
     if (result.reusable && here && !idle_) idle_ = std::move(connection);
-    happens(Answered{call, list.revision}, &list);
+    happens(Answered{call, list.revision, list.complete}, &list);
 }
 
 Listing Watcher::listing_of(const ServerList& list) {
@@ -146,21 +149,19 @@
         entry.server = known->second;
         listing.addresses.push_back(member.address);
         listing.ids.push_back(member.id);
+        // At once: the same list may name another process under its id.
+        if (!gone_stays_ && member.entry.phase == Phase::Gone) ids_.erase(known);
     }
-    if (!gone_stays_) forget_gone(list);
+    if (!gone_stays_ && list.complete) forget_unnamed(list);
     return listing;
 }
 
 // Servers are replaced by new ones under new ids for as long as the node runs. One that comes back under an id
 // that had gone is another process.
-void Watcher::forget_gone(const ServerList& list) {
+void Watcher::forget_unnamed(const ServerList& list) {
     std::unordered_set<std::string_view> named;
-    for (const ServerList::Member& member : list.members)
-        if (member.entry.phase != Phase::Gone)
-            named.insert(member.id);
-        else
-            ids_.erase(member.id);
-    if (list.complete) std::erase_if(ids_, [&](const auto& id) { return !named.contains(id.first); });
+    for (const ServerList::Member& member : list.members) named.insert(member.id);
+    std::erase_if(ids_, [&](const auto& id) { return !named.contains(id.first); });
 }
 
 }  // namespace ochrehub::discovery
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -60,6 +60,13 @@
         may_stream_ = true;
         body_most_ = body_most;
     }
+    /// Of the next exchange's answer, in place of what the connection was made with. Once it has been passed on in part it ends
+    /// at `stream_by`, if there is one, whole or not: but one that whoever reads it has held up may go on, each byte in time.
+    void limit_answer(Steady::duration most, std::optional<Steady::time_point> stream_by) {
+        answer_most_ = most;
+        stream_by_ = stream_by;
+    }
+    void stream_to(Steady::time_point stream_by) { stream_by_ = stream_by; }
     void when_streamed(Streamed streamed) { streamed_ = std::move(streamed); }
 
     /// Ends it at once. True if a request had been written whole.
@@ -67,9 +74,14 @@
 
     /// Waits for the far side's close while idle; `lost` hears of it.
     void rest(std::function<void()> lost);
+    /// Asked before each further write of the next exchange's request, once a first one has left something to write: false
+    /// ends it there, its last byte unwritten.
+    void ask_before_more(std::function<bool()> more) { more_ = std::move(more); }
     /// Looks whether the far side has closed it, or said what nobody asked for.
     bool seen_closed();
 
+    /// When it was asked to come up, in Unix time.
+    TimePoint opened_at() const { return opened_at_; }
     Steady::time_point rested_at() const { return rested_at_; }
     /// When its last answer was whole; long ago where it has had none.
     Steady::time_point answered_at() const { return answered_at_; }
@@ -85,6 +97,7 @@
     void disarm();
     void begin();
     void write();
+    void write_on();
     void next_piece();
     void watch_early();
     void wait_for_answer();
@@ -93,7 +106,7 @@
     bool stream_due() const;
     void begin_stream();
     void end_stream(bool whole, bool reusable);
-    void limit_answer();
+    bool expect_more();
     void expect_answer();
     bool came_too_soon(Duration age);
     bool may_be_other();
@@ -107,18 +120,22 @@
     std::uint64_t armed_ = 0;          // a wait of an earlier arming does nothing
     Endpoint to_;
     Duration connect_timeout_;
-    std::chrono::milliseconds answer_most_;
+    Steady::duration answer_most_;
+    std::optional<Steady::time_point> stream_by_;
+    bool held_up_ = false;  // a stream, by its reader
     bool ends_whole_;
     bool head_only_ = false;  // what was asked for has no body
     Outgoing outgoing_;
     Head head_;
     std::shared_ptr<const HttpMessage> request_;  // till it is written
     std::function<void()> on_written_;
+    std::function<bool()> more_;
     Done done_;
     Streamed streamed_;
     bool may_stream_ = false;
     std::uint64_t body_most_ = 0;
     std::shared_ptr<BodyStream> stream_;  // the rest of an answer that has been told
+    TimePoint opened_at_{};
     Steady::time_point began_at_{};       // when the answer's first byte came
     Steady::time_point asked_at_{};       // just before the request's first byte was written
     Steady::time_point answered_at_ = {};  // long ago
--- a/src/http/server_pool.cpp
+++ b/src/http/server_pool.cpp
@@ -15,8 +15,26 @@
 
 namespace {
 
-constexpr double kIdlePart = 0.85;  // of the time after which servers close an idle connection
 constexpr std::chrono::milliseconds kSweep{250};
+// Behind a request's time, an answer of which a part has been passed on: its end must be there within half a second.
+constexpr std::chrono::milliseconds kStreamOver{400};
+
+/// How long a connection may rest that servers close behind `conn_idle`: the way there and a loop that is behind lie between
+/// the look and the request.
+Duration idle_most(Duration conn_idle) {
+    return std::max(0.5 * conn_idle, std::min(0.85 * conn_idle, conn_idle - std::chrono::milliseconds(150)));
+}
+
+Connection::Steady::duration span(Duration time) {
+    return std::chrono::duration_cast<Connection::Steady::duration>(time);
+}
+
+/// When the time of a request that was given at `began` began to run; none: its body is still to come.
+std::optional<Connection::Steady::time_point> time_of(const HttpMessage& request, Connection::Steady::time_point began) {
+    if (!request.rest) return began;
+    auto ended = request.rest->stream().ended_at();
+    return ended ? std::optional(std::max(began, *ended)) : std::nullopt;
+}
 
 LoadReport report_of(const HttpMessage& answer) {
     std::string_view text = answer.header("Endpoint-Load-Metrics");
@@ -59,7 +77,7 @@
       pool_(pool),
       events_(events),
       connect_timeout_(settings.connect_timeout),
-      idle_most_(settings.conn_idle * kIdlePart),
+      idle_most_(idle_most(settings.conn_idle)),
       removal_binds_(!settings.removal_not_binding),
       most_connections_(most_connections),
       manner_(manner),
@@ -81,6 +99,9 @@
             close_idle(entry.server);
             server.answers = 0;
         }
+        // Guards against connections of its earlier process: its machine may have vanished without a word.
+        if (entry.last_start && entry.last_start != server.last_start) close_idle_before(server, *entry.last_start);
+        server.last_start = entry.last_start;
         server.address = address;
         server.key = entry.key != 0 ? entry.key : entry.server;
         server.sendable = entry.phase == Phase::Ready || (entry.phase == Phase::Gone && !removal_binds_);
@@ -164,23 +185,33 @@
     if (!connection) return end_later(id, Outcome::ConnectFailed);
     auto began = Connection::Steady::now();
     // Guards rule 3: a drain may be told while the connection is still coming up, its client leave, or its time pass.
-    // That of one whose body is still to come begins with its end.
+    // The time of one whose body is still to come begins with its end.
     auto head = [this, id, to, at = connection->to(), request, began, patience]() -> std::optional<std::string> {
         if (!may_send(to, at) || !events_.wanted(id)) return std::nullopt;
-        Duration left = patience;
-        if (!request->rest) left -= Connection::Steady::now() - began;
-        if (left.count() <= 0 && !request->rest) return std::nullopt;
-        return request_head(*request, left);
+        auto from = time_of(*request, began);
+        if (!from) return request_head(*request, patience);
+        Duration left = patience - (Connection::Steady::now() - *from);
+        return left.count() > 0 ? std::optional(request_head(*request, left)) : std::nullopt;
     };
     connection->let_stream(manner_.body_bytes());
+    if (manner_.answer_by_request) {
+        auto most = std::max<Connection::Steady::duration>(manner_.answer_most, span(patience / 4));
+        connection->limit_answer(events_.may_repeat(id) ? most : span(Duration{0}), began + span(patience) + kStreamOver);
+    } else {
+        connection->limit_answer(manner_.answer_most, std::nullopt);
+    }
+    // Guards rule 2: a repeat whose last byte would be written behind its window.
+    connection->ask_before_more([this, id] { return events_.wanted(id); });
     bool doubted = connection->doubted();
     connection->exchange(
         std::move(head), request,
         [this, id, to, doubted](const ConnectionPtr& used, Connection::Result result) {
             attempt_done(id, to, used, std::move(result), doubted);
         },
-        [this] {
+        [this, request, began, patience, used = connection.get()] {
             if (counters_) counters_->sends.add();
+            if (request->rest && manner_.answer_by_request)
+                used->stream_to(time_of(*request, began).value_or(began) + span(patience) + kStreamOver);
         });
 }
 
@@ -256,6 +287,7 @@
         --connections_;
         events_.probe_ended(to, took(), written ? Outcome::Timeout : Outcome::ConnectFailed, {});
     });
+    connection->limit_answer(manner_.answer_most, std::nullopt);
     connection->exchange(
         "GET " + manner_.probe_path + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n", nullptr,
         [this, to, took, timer](const ConnectionPtr& used, const Connection::Result& result) {
@@ -277,6 +309,14 @@
     server->idle.clear();
 }
 
+void ServerPool::close_idle_before(Server& server, TimePoint start) {
+    connections_ -= std::erase_if(server.idle, [start](const ConnectionPtr& connection) {
+        bool earlier = connection->opened_at() < start;
+        if (earlier) connection->close();
+        return earlier;
+    });
+}
+
 void ServerPool::by_hand(std::uint64_t key, bool out) {
     if (!out) return void(out_.erase(key));
     out_.insert(key);
--- a/tests/server_pool_test.cpp
+++ b/tests/server_pool_test.cpp
@@ -38,6 +38,13 @@
     return far;
 }
 
+std::shared_ptr<http::HttpMessage> longer(RequestId id, std::shared_ptr<http::BodyStream> rest, std::size_t first) {
+    auto message = Rig::request(id, std::string(first, 'r'));
+    message->rest = std::make_shared<http::BodyReader>(std::move(rest));
+    message->length = first + 1000000;
+    return message;
+}
+
 // --- a second answer that comes late ---
 
 TEST(ServerPool, ASecondCopyThatLiesThereIsSeenAndAnotherConnectionUsed) {
@@ -107,6 +114,36 @@
     expect_balance(rig, 0);
 }
 
+// It cannot be this one's, and so is another's: but one that never ran is true whichever it is, as long as the rest is not written.
+TEST(ServerPool, ADoubtedAnswerAheadOfItsRequestsEndIsNone) {
+    const std::string never_ran = "HTTP/1.1 503 x\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n";
+    enum class Said { Ok, NeverRan, NeverRanWithTheRestBetween };
+    for (Said said : {Said::Ok, Said::NeverRan, Said::NeverRanWithTheRestBetween}) {
+        http::Reuse reuse = never_rested();
+        reuse.spare_part = 0;
+        Rig rig(reuse);
+        FarPtr far = one_at_rest(rig);
+        auto stream = std::make_shared<http::BodyStream>(rig.io, rig.pool);
+        rig.start(2, longer(2, stream, 10));
+        rig.request_at(*far);
+        std::size_t first = said == Said::NeverRanWithTheRestBetween ? 12 : never_ran.size();
+        far->say(said == Said::Ok ? answer("one") : never_ran.substr(0, first));
+        if (said == Said::NeverRanWithTheRestBetween) {
+            rig.turn();
+            stream->put("the end");
+            stream->end();
+            rig.until([&] { return far->heard().ends_with("the end"); });
+            rig.turn();
+            far->say(never_ran.substr(first));
+        }
+        EXPECT_EQ(rig.outcome(2), said == Said::NeverRan ? Outcome::Full : Outcome::Error);
+        EXPECT_EQ(rig.body(2), "(none)");
+        rig.turn();
+        EXPECT_EQ(rig.events.results[2].size(), 1u);
+        expect_balance(rig, 0);
+    }
+}
+
 TEST(ServerPool, AConnectionThatHasNotRestedIsSparedForFewHandshakes) {
     http::Reuse reuse = never_rested();
     reuse.spare_part = 1.0 / 8;
@@ -248,6 +285,38 @@
     EXPECT_LE(std::atof(head.substr(head.find("X-Expires-In: ") + 14).c_str()), 59.7);
 }
 
+// Its time begins with its end, which may come before its connection is up.
+TEST(ServerPool, ARequestWhoseBodyIsStillToComeTellsWhatIsLeftFromItsEnd) {
+    for (bool whole : {false, true}) {
+        Rig rig;
+        auto stream = std::make_shared<http::BodyStream>(rig.io, rig.pool);
+        rig.start(1, longer(1, stream, 10), std::chrono::seconds(60));
+        if (whole) stream->end();
+        usleep(300000);
+        FarPtr far = rig.accept();
+        std::string head = rig.request_at(*far);
+        double told = std::atof(head.substr(head.find("X-Expires-In: ") + 14).c_str());
+        EXPECT_EQ(told <= 59.7, whole) << told;
+        if (!whole) {
+            EXPECT_EQ(told, 60);
+        }
+        rig.servers.stop({1, 0});
+        expect_balance(rig, 0);
+    }
+}
+
+TEST(ServerPool, ARequestThatWasWholeBeforeItStartedAndHasNoTimeLeftIsNotWritten) {
+    Rig rig;
+    auto stream = std::make_shared<http::BodyStream>(rig.io, rig.pool);
+    stream->end();
+    rig.start(1, longer(1, stream, 10), milliseconds(20));
+    FarPtr far = rig.door.accept();
+    usleep(40000);
+    EXPECT_EQ(rig.outcome(1), Outcome::Moot);
+    EXPECT_EQ(far->heard(), "");
+    expect_balance(rig, 1);
+}
+
 /// Fills a listener's queue, so that no further connection comes up.
 void fill(Rig& rig) {
     while (true) {
@@ -298,6 +367,19 @@
     expect_balance(rig, 0);
 }
 
+TEST(ServerPool, AServerOutByHandWhileItConnectsGetsNothing) {
+    Rig rig;
+    rig.start(1);
+    FarPtr far = rig.door.accept();
+    rig.servers.by_hand(Rig::kServer, true);
+    EXPECT_EQ(rig.outcome(1), Outcome::Moot);
+    EXPECT_EQ(far->heard(), "");
+    expect_balance(rig, 0);
+    rig.servers.by_hand(Rig::kServer, false);
+    one_at_rest(rig, 2);
+    expect_balance(rig, 1);
+}
+
 TEST(ServerPool, AServerThatLeavesKeepsWhatIsOutAndNoMore) {
     Rig rig;
     FarPtr rests = one_at_rest(rig);
@@ -410,6 +492,7 @@
 TEST(ServerPool, AnAnswerThatStopsIsAnErrorInItsTime) {
     http::Manner manner;
     manner.answer_most = milliseconds(50);
+    manner.answer_by_request = false;
     Rig rig({}, Rig::settings(), 64, manner);
     rig.start(1);
     FarPtr far = rig.accept();
@@ -419,9 +502,42 @@
     expect_balance(rig, 0);
 }
 
+// Servers stand still for longer than `answer_most`, and giving an answer up helps only a request that may go elsewhere in time.
+TEST(ServerPool, AnAnswerMayStopForAQuarterOfItsRequestsTime) {
+    http::Manner manner;
+    manner.answer_most = milliseconds(20);
+    Rig rig({}, Rig::settings(), 64, manner);
+    rig.start(1, std::chrono::seconds(4));
+    FarPtr far = rig.accept();
+    rig.request_at(*far);
+    auto said = std::chrono::steady_clock::now();
+    far->say("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+    EXPECT_EQ(rig.outcome(1), Outcome::Error);
+    EXPECT_GE(std::chrono::steady_clock::now() - said, milliseconds(1000));
+    expect_balance(rig, 0);
+}
+
+TEST(ServerPool, AnAnswerToWhatMayNotBeSentAgainMayStopForAllItsTime) {
+    http::Manner manner;
+    manner.answer_most = milliseconds(20);
+    Rig rig({}, Rig::settings(), 64, manner);
+    rig.events.repeatable = [](AttemptId id) { return id.request != 1; };
+    rig.start(1, milliseconds(40));
+    FarPtr far = rig.accept();
+    rig.request_at(*far);
+    far->say("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\none");
+    rig.turn();
+    usleep(60000);
+    rig.turn();
+    ASSERT_TRUE(rig.events.results[1].empty());
+    far->say("more");
+    EXPECT_EQ(rig.body(1), "onemore");
+}
+
 TEST(ServerPool, AnAnswerThatGoesOnInTheTurnInWhichItsTimeEndsIsReadOn) {
     http::Manner manner;
     manner.answer_most = milliseconds(1000);
+    manner.answer_by_request = false;
     Rig rig({}, Rig::settings(), 64, manner);
     rig.start(1);
     FarPtr far = rig.accept();
@@ -438,15 +554,68 @@
     EXPECT_EQ(rig.body(1), "onetwosix");
 }
 
-// --- requests that break off ---
+// They are bounded by the attempt's own time, and the time for more of an answer is not theirs.
+TEST(ServerPool, InterimAnswersMayTakeAsLongAsTheAttempt) {
+    http::Manner manner;
+    manner.answer_most = milliseconds(20);
+    manner.answer_by_request = false;
+    Rig rig(always_rested(), Rig::settings(), 64, manner);
+    rig.start(1);
+    FarPtr far = rig.accept();
+    rig.request_at(*far);
+    for (int i = 0; i < 3; ++i) {
+        far->say("HTTP/1.1 102 Processing\r\n\r\n");
+        rig.turn();
+        usleep(40000);
+        rig.turn();
+        ASSERT_TRUE(rig.events.results[1].empty());
+    }
+    far->say(answer("one"));
+    EXPECT_EQ(rig.body(1), "one");
+    rig.start(2);
+    rig.request_at(*far);
+    far->say("HTTP/1.1 102 Processing\r\n\r\n");
+    rig.turn();
+    EXPECT_TRUE(rig.servers.stop({2, 0}));
+    expect_balance(rig, 0);
+}
 
-std::shared_ptr<http::HttpMessage> longer(RequestId id, std::shared_ptr<http::BodyStream> rest, std::size_t first) {
-    auto message = Rig::request(id, std::string(first, 'r'));
-    message->rest = std::make_shared<http::BodyReader>(std::move(rest));
-    message->length = first + 1000000;
-    return message;
+TEST(ServerPool, AProbeEndsInItsTimeWhateverInterimAnswersItHas) {
+    Rig rig;
+    rig.servers.probe(Rig::kServer, milliseconds(300));
+    FarPtr far = rig.accept();
+    rig.request_at(*far);
+    const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+    for (int i = 0; i < 4; ++i) {
+        send(far->fd(), interim.data(), interim.size(), MSG_NOSIGNAL);  // its time may be over on a busy machine
+        rig.turn();
+    }
+    rig.until([&] { return !rig.events.probes.empty(); });
+    EXPECT_EQ(rig.events.probes, (std::vector<Outcome>{Outcome::Timeout}));
+    rig.turn();
+    EXPECT_EQ(rig.events.probes.size(), 1u);
+    expect_balance(rig, 0);
+}
+
+TEST(ServerPool, AProbesLongAnswerCountsByItsStatusAlone) {
+    for (bool by_status : {false, true})
+        for (int status : {200, 503}) {
+            http::Manner manner;
+            manner.probes_by_status = by_status;
+            Rig rig({}, Rig::settings(), 64, manner);
+            rig.servers.probe(Rig::kServer, std::chrono::seconds(60));
+            FarPtr far = rig.accept();
+            rig.request_at(*far);
+            far->say("HTTP/1.1 " + std::to_string(status) + " x\r\nContent-Length: 100000\r\n\r\n" + std::string(100000, 'a'));
+            rig.until([&] { return !rig.events.probes.empty(); });
+            EXPECT_EQ(rig.events.probes, (std::vector<Outcome>{by_status && status == 200 ? Outcome::Ok : Outcome::Error}));
+            rig.turn();
+            expect_balance(rig, 0);
+        }
 }
 
+// --- requests that break off ---
+
 TEST(ServerPool, ARequestThatBreaksBeforeItsLastByteNeverRan) {
     for (bool used : {false, true}) {
         Rig rig(always_rested());
@@ -466,6 +635,64 @@
     }
 }
 
+// The window for a repeat may end while a server takes its time to read: its last byte must not arrive then.
+TEST(ServerPool, WhatIsNotWantedAnyMoreIsNotWrittenToItsEnd) {
+    const std::string body(32 << 20, 'r');
+    Rig rig;
+    bool wanted = true;
+    rig.events.asked = [&](AttemptId) { return wanted; };
+    rig.start(1, Rig::request(1, body));
+    FarPtr far = rig.accept();
+    rig.request_at(*far);
+    rig.turn();  // blocked
+    wanted = false;
+    rig.until([&] {
+        far->heard();
+        return !rig.events.results[1].empty();
+    });
+    EXPECT_EQ(rig.outcome(1), Outcome::ConnectFailed);
+    EXPECT_LT(far->heard().size(), body.size());
+    rig.until([&] { return far->closed(); });
+    expect_balance(rig, 0);
+}
+
+TEST(ServerPool, WhatComesOfAnUploadThatIsNotWantedAnyMoreIsNotWritten) {
+    Rig rig;
+    bool wanted = true;
+    rig.events.asked = [&](AttemptId) { return wanted; };
+    auto stream = std::make_shared<http::BodyStream>(rig.io, rig.pool);
+    rig.start(1, longer(1, stream, 10));
+    FarPtr far = rig.accept();
+    rig.request_at(*far);
+    rig.turn();
+    wanted = false;
+    stream->put("the end");
+    stream->end();
+    EXPECT_EQ(rig.outcome(1), Outcome::ConnectFailed);
+    rig.until([&] { return far->closed(); });
+    EXPECT_EQ(far->heard(), std::string(10, 'r'));
+    expect_balance(rig, 0);
+}
+
+TEST(ServerPool, AnUploadThatItsClientBreaksOffNeverRan) {
+    for (bool more : {false, true}) {
+        Rig rig;
+        auto stream = std::make_shared<http::BodyStream>(rig.io, rig.pool);
+        rig.start(1, longer(1, stream, 10));
+        FarPtr far = rig.accept();
+        rig.request_at(*far);
+        rig.turn();  // waits for more
+        if (more) stream->put("more");
+        stream->break_off();
+        EXPECT_EQ(rig.outcome(1), Outcome::ConnectFailed);
+        rig.until([&] { return far->closed(); });
+        EXPECT_EQ(far->heard(), std::string(10, 'r') + (more ? "more" : ""));
+        rig.turn();
+        EXPECT_EQ(rig.events.results[1].size(), 1u);
+        expect_balance(rig, 0);
+    }
+}
+
 TEST(ServerPool, AResetThatAWriteIsToldOfIsNoEndOfAnAnswer) {
     Rig rig;
     auto stream = std::make_shared<http::BodyStream>(rig.io, rig.pool);
@@ -577,6 +804,92 @@
     expect_balance(rig, 0);
 }
 
+TEST(ServerPool, TheConnectionThatHasRestedLongestMakesRoom) {
+    Rig rig(always_rested(), Rig::settings(), 2);
+    Door second;
+    Listing both;
+    both.update.kind = ListKind::Full;
+    for (ServerId id : {Rig::kServer, Rig::kServer + 1}) both.update.entries.emplace_back().server = id;
+    both.addresses = {rig.door.address, second.address};
+    both.ids = {"s", "t"};
+    rig.servers.servers(both);
+    auto start = [&](RequestId id) { rig.servers.start({id, 0}, Rig::kServer + 1, Rig::request(id), std::chrono::seconds(60)); };
+    auto at_second = [&] {
+        rig.until([&] { return second.knocked(); });
+        return second.accept();
+    };
+    FarPtr oldest = one_at_rest(rig);
+    start(2);
+    FarPtr used = at_second();
+    rig.request_at(*used);
+    used->say(answer("two"));
+    EXPECT_EQ(rig.body(2), "two");
+    start(3);  // on the one that rests there
+    rig.request_at(*used);
+    start(4);  // for which there is no room
+    FarPtr fresh = at_second();
+    rig.request_at(*fresh);
+    rig.until([&] { return oldest->closed(); });
+    EXPECT_EQ(rig.servers.connections(), 2u);
+    rig.start(5);  // nothing rests, and what is out is not touched
+    EXPECT_EQ(rig.outcome(5), Outcome::ConnectFailed);
+    used->say(answer("three"));
+    fresh->say(answer("four"));
+    EXPECT_EQ(rig.body(3), "three");
+    EXPECT_EQ(rig.body(4), "four");
+    EXPECT_EQ(rig.servers.connections(), 2u);
+}
+
+// Its machine may have vanished without a word: what is written to a connection of the earlier process ends as a reset at best.
+TEST(ServerPool, AServerThatHasStartedAnewGetsNothingOnAnEarlierConnection) {
+    Rig rig(always_rested());
+    auto list = [&](Duration start) {
+        Listing listing;
+        listing.update.kind = ListKind::Delta;
+        ListEntry& entry = listing.update.entries.emplace_back();
+        entry.server = Rig::kServer;
+        entry.last_start = TimePoint{start};
+        listing.addresses = {rig.door.address};
+        listing.ids = {"s"};
+        rig.servers.servers(listing);
+    };
+    auto now = [] { return Duration(std::chrono::system_clock::now().time_since_epoch()); };
+    Duration long_ago = now() - std::chrono::seconds(1);
+    FarPtr earlier = one_at_rest(rig);
+    list(long_ago);
+    expect_balance(rig, 1);  // it came up behind the start
+    usleep(20000);
+    Duration started = now();
+    usleep(20000);
+    list(started);
+    expect_balance(rig, 0);
+    rig.until([&] { return earlier->closed(); });
+    FarPtr later = one_at_rest(rig, 2);
+    list(started);
+    expect_balance(rig, 1);
+    rig.start(3);
+    rig.request_at(*later);
+    later->say(answer("three"));
+    EXPECT_EQ(rig.body(3), "three");
+    EXPECT_EQ(earlier->heard(), "");
+}
+
+// Short idle times: what lies between the look and the request takes no part of them, but a time of its own.
+TEST(ServerPool, AConnectionIsNotUsedShortlyBeforeItsServerClosesIt) {
+    Settings set = Rig::settings();
+    set.conn_idle = milliseconds(400);
+    Rig rig(always_rested(), set);
+    FarPtr far = one_at_rest(rig);
+    usleep(260000);  // 0.65 of it, and 140 ms before its end
+    rig.start(2);
+    FarPtr other = rig.accept();
+    rig.request_at(*other);
+    other->say(answer("two"));
+    EXPECT_EQ(rig.body(2), "two");
+    EXPECT_TRUE(far->closed());
+    EXPECT_EQ(far->heard(), "");
+}
+
 // --- ends that meet the answer ---
 
 TEST(ServerPool, AStopOverAnUnreadAnswerEndsTheAttemptOnce) {
@@ -621,6 +934,97 @@
     expect_balance(rig, 0);
 }
 
+/// Begins a stream: 70,000 bytes of an answer of 100,000.
+http::BodyStream& streaming(Rig& rig, Far& far) {
+    rig.request_at(far);
+    far.say("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + std::string(70000, 'a'));
+    EXPECT_EQ(rig.outcome(1), Outcome::Ok);
+    return std::static_pointer_cast<const http::HttpMessage>(rig.result(1).message)->rest->stream();
+}
+
+// Its client has a part, and must hear of the end within half a second of its time.
+TEST(ServerPool, AStreamThatFallsSilentOrTricklesIsBrokenBehindItsRequestsTime) {
+    for (bool trickles : {false, true}) {
+        Rig rig;
+        auto began = std::chrono::steady_clock::now();
+        rig.start(1, milliseconds(300));
+        FarPtr far = rig.accept();
+        http::BodyStream& rest = streaming(rig, *far);
+        auto next = began;
+        rig.until([&] {
+            rest.drop(rest.view().size());
+            auto now = std::chrono::steady_clock::now();
+            if (trickles && now >= next && !rest.broken()) {
+                send(far->fd(), "a", 1, MSG_NOSIGNAL);
+                next = now + milliseconds(1);
+            }
+            return rest.broken();
+        });
+        EXPECT_GE(std::chrono::steady_clock::now() - began, milliseconds(700));
+        expect_balance(rig, 0);
+    }
+}
+
+TEST(ServerPool, AStreamMayStopWhileItsRequestHasTime) {
+    http::Manner manner;
+    manner.answer_most = milliseconds(20);
+    Rig rig({}, Rig::settings(), 64, manner);
+    rig.start(1);
+    FarPtr far = rig.accept();
+    http::BodyStream& rest = streaming(rig, *far);
+    rest.drop(rest.view().size());
+    rig.turn();
+    usleep(60000);
+    rig.turn();
+    far->say(std::string(30000, 'a'));
+    rig.until([&] {
+        rest.drop(rest.view().size());
+        return rest.over() || rest.broken();
+    });
+    EXPECT_TRUE(rest.over());
+}
+
+// Not the server's fault: its client has taken its time.
+TEST(ServerPool, AStreamThatItsReaderHasHeldUpGoesOnBehindItsRequestsTime) {
+    Rig rig;
+    rig.start(1, milliseconds(100));
+    FarPtr far = rig.accept();
+    rig.request_at(*far);
+    far->say("HTTP/1.1 200 OK\r\nContent-Length: 250000\r\n\r\n" + std::string(200000, 'a'));
+    EXPECT_EQ(rig.outcome(1), Outcome::Ok);
+    http::BodyStream& rest = std::static_pointer_cast<const http::HttpMessage>(rig.result(1).message)->rest->stream();
+    rig.until([&] { return rest.view().size() == BufferPool::kSize; });
+    rig.turn();
+    usleep(600000);
+    std::size_t taken = 0;
+    bool said = false;
+    rig.until([&] {
+        taken += rest.view().size();
+        rest.drop(rest.view().size());
+        if (taken >= 200000 - 2 * BufferPool::kSize && !std::exchange(said, true)) far->say(std::string(50000, 'a'));
+        return rest.over() || rest.broken();
+    });
+    EXPECT_TRUE(rest.over());
+}
+
+// The end of its time moves with the end of its body.
+TEST(ServerPool, AStreamThatAnswersAnUploadEndsBehindThatOnesTime) {
+    Rig rig;
+    auto stream = std::make_shared<http::BodyStream>(rig.io, rig.pool);
+    rig.start(1, longer(1, stream, 10), milliseconds(200));
+    FarPtr far = rig.accept();
+    usleep(300000);
+    rig.turn();
+    auto ended = std::chrono::steady_clock::now();
+    stream->end();
+    http::BodyStream& rest = streaming(rig, *far);
+    rig.until([&] {
+        rest.drop(rest.view().size());
+        return rest.broken();
+    });
+    EXPECT_GE(std::chrono::steady_clock::now() - ended, milliseconds(600));
+}
+
 TEST(ServerPool, AStreamThatIsCutIsBroken) {
     for (Then then : {Then::End, Then::Reset}) {
         Rig rig;
