--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -42,20 +42,18 @@
 constexpr Duration kLookFresh{6}, kLookWait{6};  // a report as good as a look; a later one: it stands still
 // After a failed list call (in 6 s its news counts as told); discovery's time for one gateway's, for all.
 constexpr Duration kRewatchMin{125}, kRewatchFirst{375}, kRewatchMax{1800}, kListEach{50}, kListMost{3250};
-constexpr Duration kForgetAfter{60000};                  // a server that the list lacks for this is forgotten
-constexpr double kColdMargin = 0.75;    // part of a cold server's budget that is used: handshakes, chance
-constexpr double kColdSenders = 1.3;    // room for lists that differ for a while, and with them the shares
-constexpr double kColdReserve = 0.4;    // ... less so many times the root of the number sent, in sends
-constexpr Duration kRateOver{5000};     // time over which rates are told
-constexpr Duration kServedFade{60000};  // how long the most that this gateway got served is believed
-constexpr double kPaceGain = 0.15,
-                 kFleetPaceGain = 0.06;  // weight of one answer in a server's and the fleet's pace
-constexpr double kFloorMax = 0.4;        // a class's floor is believed up to this part of its aim
-constexpr Duration kPaceFade{3000};      // a server's pace is forgotten over this time without answers
+constexpr Duration kForgetAfter{60000};  // a server that the list lacks for this is forgotten
+constexpr double kColdMargin = 0.75;     // part of a cold server's budget that is used: handshakes, chance
+constexpr double kColdSenders = 1.3;     // room for lists that differ for a while, and with them the shares
+constexpr double kColdReserve = 0.4;     // ... less so many times the root of the number sent, in sends
+constexpr Duration kRateOver{5000};      // time over which rates are told
+constexpr Duration kServedFade{60000};   // how long the most that this gateway got served is believed
+constexpr double kPaceGain = 0.15, kFleetPaceGain = 0.06;  // weight of one answer: in one's, in all's
+constexpr double kFloorMax = 0.4;    // a class's floor is believed up to this part of its aim
+constexpr Duration kPaceFade{3000};  // a server's pace is forgotten over this time without answers
 constexpr double kPaceUsual = 1.4, kPaceMost = 6;  // where nothing is known; the most that one answer says
 constexpr Duration kWeightAge{50};                 // how long a weight is kept: it takes exponentials
-constexpr double kPaceHigh = 2.0,
-                 kPaceLow = 1.6;  // too much is held above the one; below the other it may grow
+constexpr double kPaceHigh = 2.0, kPaceLow = 1.6;  // above, too much is held; below, it may grow
 constexpr double kLimitStart = 3, kLimitStartMost = 3;  // in flight where nothing is known: of all; of one
 constexpr double kLimitLeast = 6;       // ... and at a slow one: fewer leave its core idle while they wait
 constexpr Duration kSpacingMost{2000};  // longest wait between two sends to a server not Unhealthy
@@ -63,9 +61,8 @@
 constexpr int kLiesToDoubt = 3;         // straight reports that own requests contradict
 constexpr double kForeignGain = 0.05;   // weight of one report in that mean
 constexpr double kRetryShare = 0.2, kBurst = 5;  // repeats per first try that may run twice; tokens at most
-constexpr double kCrossCheap = 0.1,
-                 kCrossMost = 0.5;     // part of the worth to cross for: at any time; late and well
-constexpr Duration kCrossFade{10000};  // how long bad crossings count: they are few
+constexpr double kCrossCheap = 0.1, kCrossMost = 0.5;  // part of the worth to cross for; ... late, if well
+constexpr Duration kCrossFade{10000};                  // how long bad crossings count: they are few
 constexpr int kQueueTries = 6;         // waiting requests that are tried before the rest are left
 constexpr Duration kQueueRest{3};      // ... and how long: less than a look is fresh
 constexpr Duration kWire{2};           // reserve for the way back to the client
@@ -252,7 +249,7 @@
     }
 
     std::size_t place() {
-        auto found = std::find_if(servers_.begin(), servers_.end(), [](const Server& s) { return s.free; });
+        auto found = std::ranges::find(servers_, true, &Server::free);
         if (found == servers_.end()) found = servers_.emplace(found);
         found->free = false, found->listed_at = now_;
         return std::size_t(found - servers_.begin());
@@ -309,7 +306,6 @@
     void choose_members() {
         if (!subset_stale_ && now_ - subset_at_ < kSubsetAge) return;
         subset_stale_ = false, subset_at_ = now_;
-        auto is_listed = [](const Server& s) { return s.listed; };
         order_.clear();
         here_ = 0, total_size_ = 0;
         for (int wanted = 0; wanted < 3; ++wanted) {
@@ -323,7 +319,7 @@
         share_out_servers();
         for (Server& s : servers_) s.member = false;
         members_.clear();
-        unhealthy_ = 0, avoided_ = std::size_t(std::count_if(servers_.begin(), servers_.end(), is_listed));
+        unhealthy_ = 0, avoided_ = std::size_t(std::ranges::count(servers_, true, &Server::listed));
         for (std::size_t i : order_) {
             Server& s = servers_[i];
             if (s.limit <= 0) {  // gateways that are told together do not send together
@@ -433,9 +429,8 @@
     }
 
     // Guards against reports that are wrong (stuck, mixed up): own requests must be in them. A server that
-    // keeps contradicting that, or turns work away while "idle", counts as holding what the mean one does and
-    // is limited as without reports, until one agrees. An answer under way contradicts too, hence more than
-    // one is needed.
+    // keeps contradicting that (an answer under way does once), or turns work away while "idle", counts as
+    // holding what the mean one does and is limited as without reports, until one agrees.
     void note_report(Server& s, double inflight) {
         int settled = s.own - (now_ - s.last_send <= kLookFresh ? 1 : 0);
         if (settled > 0) s.lies = inflight < settled - 0.5 ? s.lies + 1 : 0;
@@ -456,8 +451,7 @@
     }
 
     // Exception: where most servers (of three or more) are Unhealthy, what made them so is shared or lies
-    // here, and one success is enough to be used again. Guards against a fleet that is back and waits for its
-    // second probes.
+    // here, and one success is enough. Guards against a fleet that is back and waits for its second probes.
     bool usable(const Server& s) const {
         if (s.health != Health::Unhealthy) return true;
         return s.successes > 0 && unhealthy_ > 2 && double(unhealthy_) > kPanicShare * double(order_.size());
@@ -575,7 +569,7 @@
         s.connected = true, s.used_at = now_, s.last_elapsed = elapsed;
         s.shuts = s.silent = 0;
         s.errors -= kErrorGain * s.errors, errors_ -= kFleetPaceGain * errors_;
-        ClassState& c = state(r);
+        ClassState& c = class_state_[std::size_t(r.cls)];
         double ms = elapsed.count() * share(s);
         if (!std::exchange(c.seen, true)) c.floor_ms = ms;
         // Settles near the lower third of the answers: those that met no queue. Never above a set part of the
@@ -642,14 +636,13 @@
                 if (!usable(s) || !in_use(s) || now_ < s.shut_until) continue;
                 if (from >= here_ && r.worth <= mean_gain_ && !s.connected && width_ < order_.size())
                     continue;
-                auto is_it = [&](const Attempt& a) { return a.server == i; };
-                if (std::any_of(r.attempts.begin(), r.attempts.end(), is_it)) continue;
+                if (std::ranges::find(r.attempts, i, &Attempt::server) != r.attempts.end()) continue;
                 bool fit = may_send(r, s);
                 if (!fit && !r.attempts.empty()) continue;  // looks on for those that it may go to
                 group_.push_back(i);
                 total += weight(s);
                 if (fit && has_room(s))
-                    turn_order_.emplace_back(s.turn + weight(s), i);
+                    turn_order_.emplace_back(-s.turn - weight(s), i);
                 else
                     busy += fit;
             }
@@ -686,10 +679,7 @@
         if (k >= sorted_) {
             auto from = turn_order_.begin() + std::ptrdiff_t(sorted_);
             sorted_ = std::min(turn_order_.size(), 2 * k + 2);
-            std::partial_sort(from, turn_order_.begin() + std::ptrdiff_t(sorted_), turn_order_.end(),
-                              [](const auto& a, const auto& b) {
-                                  return a.first != b.first ? a.first > b.first : a.second < b.second;
-                              });
+            std::partial_sort(from, turn_order_.begin() + std::ptrdiff_t(sorted_), turn_order_.end());
         }
         return turn_order_[k].second;
     }
@@ -704,8 +694,7 @@
 
     // Exception, where probes carry load: before a send, the one in turn and the next are asked what they
     // hold; it moves on along the turn while those asked are busy. One that does not answer stands still and
-    // is passed over. Where the aim would be missed the request waits here, where it can still be given up
-    // safely.
+    // is passed over. Where the aim would be missed the request waits here: it can still be given up safely.
     std::optional<std::size_t> look(Request& r) {
         answered_.clear();
         std::size_t n = turn_order_.size(), pair_end = 0;
@@ -779,8 +768,8 @@
     void enqueue(Request& r) {
         if (start_by(r).count() <= 0 || all_out()) return give_up(r);
         r.queued = true;
-        // Highest worth for the work first, as work is known now; among equals the newest: it can still be in
-        // time. Guards against newest last while all slow down and usual times rise.
+        // Highest worth for the work first, as work is known now; among equals the newest, which can still be
+        // in time. Guards against newest last while all slow down and usual times rise.
         auto behind = [this, its = urgency(r)](const Request* q) { return urgency(*q) <= its; };
         queue_.insert(std::find_if(queue_.begin(), queue_.end(), behind), &r);
         start_timer(TimerKind::Start, start_by(r), r.id, r.attempts.size());
@@ -871,8 +860,7 @@
         if (e.outcome == Outcome::Ok && usable(s)) note_success(s);
         if (e.outcome == Outcome::ConnectFailed) refused_connection(s);
         // A reset shows a broken connection, not that the server is away: of one that is, probes fail. Guards
-        // against resets from all servers alike that eject sound ones. One that stood idle is the
-        // connection's fault.
+        // against resets from all servers alike that eject sound ones. An idle connection's is its own fault.
         if (e.outcome == Outcome::Error || (e.outcome == Outcome::Reset && !a.idled)) blame(s);
         if (e.outcome == Outcome::Timeout && !a.overdue) overdue(s, a);
         if (e.outcome != Outcome::Full) return;
@@ -892,8 +880,8 @@
         if (s.errors > kErrorLeast + kErrorMore * errors_) note_failure(s, false);
     }
 
-    // A connection refused by a server that answers otherwise says that its table is full: it is left alone,
-    // by each gateway for its own time. Only a probe shows that it is away. Could hurt for an interval after
+    // A connection refused by a server that answers otherwise says that its table is full: each gateway
+    // leaves it for a time of its own. Only a probe shows that it is away. Could hurt for an interval after
     // a crash.
     void refused_connection(Server& s) {
         s.connected = false;
@@ -901,8 +889,7 @@
         if (now_ - s.answered_at > 1.5 * kProbeInterval) note_failure(s, !set_.probes);
     }
 
-    // A server that takes work and answers nothing passes its probes: attempts overdue count until a real
-    // answer.
+    // A server that takes work and answers nothing passes its probes: attempts overdue count until an answer.
     void overdue(Server& s, Attempt& a) {
         a.overdue = true;
         if (a.idled && reaped()) return;  // the connection's fault
@@ -912,8 +899,7 @@
     }
 
     // Exception: connections that stood idle are closed before a send while sends on such are lost far more
-    // than others; a few are tried. Guards against unseen drops. Could hurt where slow servers are the seldom
-    // used.
+    // than others; a few are tried. Guards against unseen drops. Could hurt where slow ones are seldom used.
     bool reaped() const { return idle_loss_ > used_loss_ + kIdleLoss; }
 
     void retry(Request& r, bool may_have_run, bool replayable) {
@@ -926,9 +912,8 @@
 
     bool may_refuse(const Request& r) const {
         const ClassSettings& c = cls(r);
-        auto never_ran = [](const Attempt& a) { return a.fate == Fate::NeverRan; };
-        return c.effect == Effect::Free || (c.effect == Effect::Guarded && c.scope == Scope::All) ||
-               std::all_of(r.attempts.begin(), r.attempts.end(), never_ran);
+        if (c.effect == Effect::Free || (c.effect == Effect::Guarded && c.scope == Scope::All)) return true;
+        return std::ranges::count(r.attempts, Fate::NeverRan, &Attempt::fate) == std::ssize(r.attempts);
     }
 
     void give_up(Request& r) {  // every final answer that is not a server's passes here
@@ -939,7 +924,9 @@
         conclude(r);
     }
 
-    void on(const StreamStarted& e) { if (Request* r = find(e.request)) r->streaming = true; }
+    void on(const StreamStarted& e) {
+        if (Request* r = find(e.request)) r->streaming = true;
+    }
     void on(const ClientGone& e) { find(e.request) ? conclude(*find(e.request)) : void(); }
 
     void conclude(Request& r) {  // it is over, one way or another: call off what is still out
@@ -956,7 +943,6 @@
     }
 
     const ClassSettings& cls(const Request& r) const { return set_.classes[std::size_t(r.cls)]; }
-    ClassState& state(const Request& r) { return class_state_[std::size_t(r.cls)]; }
     const ClassState& state(const Request& r) const { return class_state_[std::size_t(r.cls)]; }
 
     // ---- Timers
@@ -988,10 +974,7 @@
         }
     }
 
-    template <class T>
-    void emit(T&& action) {
-        out_->emplace_back(std::forward<T>(action));
-    }
+    void emit(auto&& action) { out_->emplace_back(std::forward<decltype(action)>(action)); }
 
     double uniform() { return double(random_() >> 11) * 0x1p-53; }
 
@@ -1010,7 +993,7 @@
     std::size_t sorted_ = 0;                                     // of turn_order_, from its begin
     std::size_t unhealthy_ = 0;                                  // of order_
     bool subset_stale_ = true, watching_ = false;
-    std::vector<std::pair<double, std::size_t>> turn_order_, answered_;
+    std::vector<std::pair<double, std::size_t>> turn_order_, answered_;  // by less of a turn, then by place
     int looks_most_ = 0;  // looks for one request; none where probes carry no load
     std::vector<ClassState> class_state_;
     std::vector<std::pair<double, TimePoint>> tenants_;  // tokens, as of when
@@ -1023,9 +1006,8 @@
            total_size_ = 1, retry_tokens_ = kBurst;
     TimePoint resting_until_{}, queue_due_{}, subset_at_{};
     int rewatch_tries_ = 0;
-    std::map<std::uint64_t, TimePoint> out_by_hand_;  // keys, and since when
-    std::map<std::uint64_t, std::pair<TimePoint, TimePoint>>
-        back_;  // put back of late: from when, till when out
+    std::map<std::uint64_t, TimePoint> out_by_hand_;                 // keys, and since when
+    std::map<std::uint64_t, std::pair<TimePoint, TimePoint>> back_;  // put back of late: out from, and till
     std::size_t avoided_ = 0;
     double part_ = 1;  // of this gateway's budgets: half while another process of it lives
 };
