Believe what answers take at their best where a class's aim is close to it

Cause: what is usual for a class was capped at 0.4 of its aim. Where the aim is under 1.67 of what an answer takes, each answer seemed slow, and the limits of requests in flight were cut and never grew.

Change: the cap is 1.4 times the least that was usual of late where that is more than 0.4 of the aim. The least is known after 50 answers and rises by itself over two minutes. What is kept back for an answer in start_by stays within 0.4 of the aim, as before.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -49,8 +49,11 @@
 constexpr Duration kRateOver{5000};      // time over which rates are told
 constexpr Duration kServedFade{60000};   // how long the most that this gateway got served is believed
 constexpr double kPaceGain = 0.15, kFleetPaceGain = 0.06;  // weight of one answer: in one's, in all's
-constexpr double kFloorMax = 0.4;    // a class's floor is believed up to this part of its aim
-constexpr Duration kPaceFade{3000};  // a server's pace is forgotten over this time without answers
+constexpr double kFloorMax = 0.4;       // a class's floor is believed up to this part of its aim
+constexpr double kFloorOver = 1.4;      // ... or so many times the least that it has been
+constexpr int kFloorKnown = 50;         // ... once there were so many answers
+constexpr Duration kFloorRise{120000};  // ... which is forgotten over this time, upwards
+constexpr Duration kPaceFade{3000};     // a server's pace is forgotten over this time without answers
 constexpr double kPaceUsual = 1.4, kPaceMost = 6;  // where nothing is known; the most that one answer says
 constexpr Duration kWeightAge{50};                 // how long a weight is kept: it takes exponentials
 constexpr double kPaceHigh = 2.0, kPaceLow = 1.6;  // above, too much is held; below, it may grow
@@ -139,17 +142,18 @@
     std::optional<std::size_t> awaited;  // the server whose look it waits for
 };
 
-struct ClassState {
-    double floor_ms = 0;  // time of an answer that did not wait
-    bool seen = false;
-};
-
 struct Fading {  // a value that falls off by itself while nothing new is learned of it
     double value = 0;
     TimePoint at{};
     double left(TimePoint now, Duration over) const { return value * std::exp(-((now - at) / over)); }
 };
 
+struct ClassState {
+    double floor_ms = 0, seen_ms = 0;  // time of an answer that did not wait: as believed, as seen
+    Fading least;                      // the least of the latter; rises by itself
+    int answers = 0;
+};
+
 enum class TimerKind { ProbeDue, ProbeLate, Rewatch, Start, Overdue, Look };
 struct Timer {
     TimePoint at{};
@@ -571,11 +575,14 @@
         s.errors -= kErrorGain * s.errors, errors_ -= kFleetPaceGain * errors_;
         ClassState& c = class_state_[std::size_t(r.cls)];
         double ms = elapsed.count() * share(s);
-        if (!std::exchange(c.seen, true)) c.floor_ms = ms;
+        if (c.answers++ == 0) c.floor_ms = c.seen_ms = c.least.value = ms, c.least.at = now_;
         // Settles near the lower third of the answers: those that met no queue. Never above a set part of the
-        // aim: a slow spell must not teach that nothing can be served.
-        c.floor_ms += (ms < c.floor_ms ? 0.04 : 0.02) * (ms - c.floor_ms);
-        c.floor_ms = std::min(c.floor_ms, kFloorMax * cls(r).aim.count());
+        // aim: a slow spell must not teach that nothing can be served. Exception: where the aim is close to
+        // what answers take at their best, the least of late. Guards against limits that never grow.
+        for (double* at : {&c.floor_ms, &c.seen_ms}) *at += (ms < *at ? 0.04 : 0.02) * (ms - *at);
+        c.least = {std::min(c.seen_ms, c.least.left(now_, -kFloorRise)), now_};
+        double best = c.answers < kFloorKnown ? 0 : kFloorOver * c.least.value;
+        c.floor_ms = std::min(c.floor_ms, std::max(kFloorMax * cls(r).aim.count(), best));
         served_ = {served_.left(now_, kRateOver) + 0.2 * c.floor_ms, now_};
         most_served_ = {std::max(served_.value, most_served_.left(now_, kServedFade)), now_};
         double ratio = ms / std::max(1e-3, c.floor_ms) / queueing(a.held);
@@ -759,7 +766,8 @@
     }
 
     Duration start_by(const Request& r) const {  // latest useful start, from now
-        TimePoint by = r.useful_until - Duration{kAnswerTimes * state(r).floor_ms * fleet_pace()} - kWire;
+        double usual = std::min(state(r).floor_ms, kFloorMax * cls(r).aim.count());
+        TimePoint by = r.useful_until - Duration{kAnswerTimes * usual * fleet_pace()} - kWire;
         // What has not been sent by half of its time is better told to come back while there is time for it.
         if (r.attempts.empty()) by = std::min(by, r.arrived + kWaitMost * (r.give_up_at - r.arrived));
         return by - now_;
