--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -168,11 +168,10 @@
 class Balancer::Rules {
 public:
     Rules(Settings settings, std::uint64_t seed) : set_(std::move(settings)), random_(seed) {
-        class_state_.resize(set_.classes.size());
         double gain = 0;
-        for (std::size_t i = 0; i < set_.classes.size(); ++i) {
-            class_state_[i].floor_ms = set_.classes[i].aim.count() / 4;  // until the first answers
-            gain += set_.classes[i].gain;
+        for (const ClassSettings& c : set_.classes) {
+            class_state_.emplace_back().floor_ms = c.aim.count() / 4;  // until the first answers
+            gain += c.gain;
         }
         mean_gain_ = set_.classes.empty() ? 1 : std::max(1e-9, gain / double(set_.classes.size()));
         tenants_.assign(set_.tenants.size(), {kBurst, TimePoint{}});
@@ -252,23 +251,19 @@
         }
     }
 
-    std::size_t place() {
+    std::size_t place(ServerId id) {
         auto found = std::ranges::find(servers_, true, &Server::free);
         if (found == servers_.end()) found = servers_.emplace(found);
-        found->free = false, found->listed_at = now_;
-        return std::size_t(found - servers_.begin());
+        found->id = id, found->free = false, found->listed_at = now_, found->rank = random_();
+        auto i = std::size_t(found - servers_.begin());
+        auto rank = [this](std::size_t k) { return servers_[k].rank; };
+        ranked_.insert(std::ranges::upper_bound(ranked_, found->rank, {}, rank), i);
+        return i;
     }
 
     void apply(const ListEntry& entry) {
         auto [it, fresh] = index_.try_emplace(entry.server, 0);
-        if (fresh) {
-            it->second = place();
-            Server& made = servers_[it->second];
-            made.id = entry.server;
-            made.rank = random_();
-            auto behind = [this](std::uint64_t rank, std::size_t i) { return rank < servers_[i].rank; };
-            ranked_.insert(std::upper_bound(ranked_.begin(), ranked_.end(), made.rank, behind), it->second);
-        }
+        if (fresh) it->second = place(entry.server);
         Server& s = servers_[it->second];
         bool restarted = entry.last_start && (!s.entry.last_start || *entry.last_start > *s.entry.last_start);
         bool returned = !s.named && entry.phase != Phase::Gone && !set_.removal_not_binding;
@@ -320,8 +315,8 @@
         if (!zoned() || here_ == 0) here_ = order_.size();  // nobody here: there is no crossing to save
         for (std::size_t i : order_) total_size_ += servers_[i].entry.size;
         width_ = width_at(arrivals_.value);
+        for (Server& s : servers_) s.users = 0, s.member = false;
         share_out_servers();
-        for (Server& s : servers_) s.member = false;
         members_.clear();
         unhealthy_ = 0, avoided_ = std::size_t(std::ranges::count(servers_, true, &Server::listed));
         for (std::size_t i : order_) {
@@ -354,7 +349,6 @@
     // Guards against drawn subsets: two gateways at one server, thirteen at the next. All must come to the
     // same, so the width goes by the tenants' quotas, which all are told, and not by own arrivals.
     void share_out_servers() {
-        for (Server& s : servers_) s.users = 0;
         double quotas = 0;
         for (const TenantSettings& tenant : set_.tenants) quotas += tenant.quota_rps;
         std::size_t shared = width_at(quotas / set_.balancers);
@@ -400,16 +394,16 @@
         if (!s.probing) return;
         Duration every = std::max(probe_interval(), s.probe_rest), rest = s.probed_at + every - now_;
         if (rest <= kClockStep) {
-            ask(s, i);
-            s.probe_counts = true;
+            ask(s, i, true);
             rest = every;
         }
         start_timer(TimerKind::ProbeDue, rest, i, s.probe_epoch);
     }
 
-    void ask(Server& s, std::size_t i) {
-        if (s.probe_open) return;
-        s.probe_open = true, s.probe_counts = false, s.probe_sent = now_;
+    void ask(Server& s, std::size_t i, bool counts) {
+        s.probe_counts = counts;
+        if (std::exchange(s.probe_open, true)) return;
+        s.probe_sent = now_;
         emit(Probe{s.id, kProbeTimeout});
         start_timer(TimerKind::ProbeLate, kProbeTimeout, i, s.probe_epoch);
     }
@@ -590,8 +584,7 @@
         if (s.pace > kPaceHigh && now_ - s.limit_cut > elapsed) {
             s.limit = std::max(limit_min(), s.limit * 0.85);
             s.limit_cut = now_;
-        } else if (s.pace < kPaceLow &&
-                   s.own + 1 >= s.limit * share(s)) {  // of a cold one only a part is used
+        } else if (s.pace < kPaceLow && s.own + 1 >= s.limit * share(s)) {  // of a cold one a part is used
             s.limit += std::min(s.limit, 1.25 / (1 + s.limit));
         }
     }
@@ -715,7 +708,7 @@
                 bool fresh = now_ - s.foreign_at <= kLookFresh;
                 if (!fresh && !s.probe_open && r.looks < looks_most_) {
                     ++r.looks;
-                    ask(s, i);
+                    ask(s, i, false);
                     start_timer(TimerKind::Look, kLookWait, r.id, 0);
                 }
                 if (fresh) {
@@ -932,9 +925,7 @@
         conclude(r);
     }
 
-    void on(const StreamStarted& e) {
-        if (Request* r = find(e.request)) r->streaming = true;
-    }
+    void on(const StreamStarted& e) { if (Request* r = find(e.request)) r->streaming = true; }
     void on(const ClientGone& e) { find(e.request) ? conclude(*find(e.request)) : void(); }
 
     void conclude(Request& r) {  // it is over, one way or another: call off what is still out
