Try an Unhealthy server by requests where there are no probes

Cause: with Limits.Probes off nothing but a new start or a list without it brought a server back that was found Unhealthy: usable() waits for probes, and its answers counted for nothing.

Change: without probes one request at a time goes to it on trial, once a rest behind the last bad end is over: 250 ms, doubling to 4 s, as probes rest. Two successes bring it back. One that may run twice goes first; any does where nobody is Healthy, or where no such has come for 4 s. With probes nothing changes.

--- a/src/engine/settings.cpp
+++ b/src/engine/settings.cpp
@@ -131,7 +131,7 @@
     return {
         flag({.name = "probes",
               .fallback = "on",
-              .help = "servers are probed; without, one found unhealthy stays out until it is listed anew"},
+              .help = "servers are probed; without, one found unhealthy gets a request at a time on trial"},
              &Settings::probes),
         flag({.name = "load_reports",
               .fallback = "off",
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -99,8 +99,8 @@
     int users = 0;           // gateways that are given it, as this one is; 0: each draws; -1: others are
     TimePoint answered_at = TimePoint::min();  // last success of a probe or an attempt
     bool probing = false;
-    Duration probe_rest{0};  // longer than the interval where its probes are answered badly
-    TimePoint probed_at{};   // when the last probe or look that was answered went out
+    Duration probe_rest{0};                         // behind a bad answer to a probe, or a bad end on trial
+    TimePoint probed_at{};                          // when the last probe or look that was answered went out
     bool probe_open = false, probe_counts = false;  // one is out; by interval, else a look, which says little
     std::uint64_t probe_epoch = 0;
     double turn = 0;               // current weight of the smooth weighted rotation
@@ -455,6 +455,14 @@
         return s.successes > 0 && unhealthy_ > 2 && double(unhealthy_) > kPanicShare * double(order_.size());
     }
 
+    // Without probes an Unhealthy one is tried by one request at a time, a rest behind its last bad end: by
+    // one that may run twice, or by any where nobody is Healthy or no such has come for long.
+    bool may_try(const Server& s, const Request& r) const {
+        if (set_.probes || s.own > 0) return false;
+        bool any = unhealthy_ == order_.size() || now_ - s.shut_until > kProbeRestMost;
+        return any || cls(r).effect != Effect::SingleShot;
+    }
+
     void note_success(Server& s) {
         s.failures = 0, s.probe_rest = Duration{0};
         s.answered_at = now_, ++s.successes;
@@ -633,7 +641,7 @@
             for (; from < to && group_.size() < width_; ++from) {
                 std::size_t i = order_[from];
                 Server& s = servers_[i];
-                if (!usable(s) || !in_use(s) || now_ < s.shut_until) continue;
+                if (!(usable(s) || may_try(s, r)) || !in_use(s) || now_ < s.shut_until) continue;
                 if (from >= here_ && r.worth <= mean_gain_ && !s.connected && width_ < order_.size())
                     continue;
                 if (std::ranges::find(r.attempts, i, &Attempt::server) != r.attempts.end()) continue;
@@ -858,12 +866,17 @@
 
     void judge(Server& s, const Request& r, Attempt& a, const AttemptEnded& e) {
         if (e.outcome == Outcome::Ok) note_answer(s, r, a, e.elapsed);
-        if (e.outcome == Outcome::Ok && usable(s)) note_success(s);
+        bool tried = !set_.probes && a.sent >= s.shut_until;  // not one of before its rest
+        if (e.outcome == Outcome::Ok && (usable(s) || tried)) note_success(s);
         if (e.outcome == Outcome::ConnectFailed) refused_connection(s);
         // A reset shows a broken connection, not that the server is away: of one that is, probes fail. Guards
         // against resets from all servers alike that eject sound ones. An idle connection's is its own fault.
         if (e.outcome == Outcome::Error || (e.outcome == Outcome::Reset && !a.idled)) blame(s);
         if (e.outcome == Outcome::Timeout && !a.overdue) overdue(s, a);
+        if (tried && s.health == Health::Unhealthy && e.outcome != Outcome::Ok) {
+            s.successes = 0, s.probe_rest = std::clamp(2 * s.probe_rest, kProbeRest, kProbeRestMost);
+            s.shut_until = std::max(s.shut_until, now_ + s.probe_rest);
+        }
         if (e.outcome != Outcome::Full) return;
         // One that drains, which the list tells late, turns all away at once and so is always the idlest:
         // else each request would go from one such to the next till its attempts are used up.
--- a/tests/other_settings_test.cpp
+++ b/tests/other_settings_test.cpp
@@ -67,5 +67,49 @@
     EXPECT_LE(held, 12) << "six at each";
 }
 
+/// Server 1 of four errs from 1 s to `till_ms`; sends to it by when they were made.
+std::vector<double> tried_at_one_that_errs(Gateway& g, double till_ms, double end_ms, int cls) {
+    g.list(0, {entry(1), entry(2), entry(3), entry(4)});
+    std::vector<double> tried;
+    auto serve = [&](ServerId s, double now) {
+        if (s == 1) tried.push_back(now);
+        return std::pair{s == 1 && now > 1000 && now < till_ms ? Outcome::Error : Outcome::Ok, 20.0};
+    };
+    steady(g, 0, end_ms, 50, serve, cls);
+    return tried;
+}
+
+// Nothing but a new start brought it back.
+TEST(Health, WithoutProbesAnUnhealthyServerIsOnTrialAndComesBack) {
+    for (int cls : {0, 1, 2}) {
+        Gateway g(unprobed());
+        std::vector<double> tried = tried_at_one_that_errs(g, 21'000, 40'000, cls);
+        auto between = [&](double from, double to) {
+            return std::count_if(tried.begin(), tried.end(), [&](double t) { return t >= from && t < to; });
+        };
+        EXPECT_GT(between(0, 1000), 8) << cls;
+        // Rests of 250 ms that double to 4 s: two in the first second, then four to eight, and never two at once.
+        EXPECT_LE(between(4000, 21'000), 9) << cls;
+        EXPECT_GE(between(4000, 21'000), cls == 1 ? 1 : 3) << cls;
+        for (std::size_t i = 1; i < tried.size(); ++i)
+            if (tried[i - 1] > 4000 && tried[i] < 21'000) {
+                EXPECT_GT(tried[i] - tried[i - 1], 250) << cls;
+            }
+        EXPECT_GT(between(32'000, 40'000), 60) << cls << ": a fourth of 400";
+    }
+}
+
+// An outage of all: what asks meanwhile is the trial, one at each at a time.
+TEST(Health, WithoutProbesAFleetComesBackFromAnOutage) {
+    for (Outcome down : {Outcome::ConnectFailed, Outcome::Error, Outcome::Timeout}) {
+        Gateway g(unprobed());
+        g.list(0, {entry(1), entry(2), entry(3)});
+        auto serve = [&](ServerId, double now) {
+            return std::pair{now > 5000 && now < 25'000 ? down : Outcome::Ok, 20.0};
+        };
+        EXPECT_GT(steady(g, 35'000, 45'000, 50, serve, 1).share(), 0.98) << int(down);
+    }
+}
+
 }  // namespace
 }  // namespace ochrehub::testing
