--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -317,8 +317,8 @@
         width_ = width_at(arrivals_.value);
         for (Server& s : servers_) s.users = 0, s.member = false;
         share_out_servers();
-        members_.clear();
-        unhealthy_ = 0, avoided_ = std::size_t(std::ranges::count(servers_, true, &Server::listed));
+        members_ = unhealthy_ = 0;
+        avoided_ = std::size_t(std::ranges::count(servers_, true, &Server::listed));
         for (std::size_t i : order_) {
             Server& s = servers_[i];
             if (s.limit <= 0) {  // gateways that are told together do not send together
@@ -328,9 +328,8 @@
             bool down = s.health == Health::Unhealthy;
             unhealthy_ += down;
             avoided_ -= s.listed && !down;
-            if (!down && members_.size() >= width_) continue;
-            s.member = !down;
-            if (s.member) members_.push_back(i);
+            if (!down && members_ >= width_) continue;
+            s.member = !down, members_ += !down;
             // One that was away meanwhile is probed no more; nothing else brings it back where it is down.
             if (s.probing || !set_.probes) continue;
             s.probing = true;
@@ -358,8 +357,7 @@
         const Subset& shares = shares_.of(keys, set_.balancers, set_.me, shared);
         for (std::size_t k = 0; k < shares.users.size(); ++k)
             servers_[order_[k]].users = shares.mine[k] ? shares.users[k] : -1;
-        auto given = [this](std::size_t i) { return servers_[i].users >= 0; };
-        std::stable_partition(order_.begin(), order_.end(), given);
+        std::ranges::stable_partition(order_, [this](std::size_t i) { return servers_[i].users >= 0; });
     }
 
     double sharers() const {  // gateways that use a server, if all have subsets like this one's
@@ -383,7 +381,7 @@
     // As often as a small fixed share of the result pays for, over all that are probed. Guards against a
     // loop: the fewer are Healthy, the more the others are probed.
     Duration probe_interval() const {
-        double n = double(std::min(order_.size(), members_.size() + unhealthy_));
+        double n = double(std::min(order_.size(), members_ + unhealthy_));
         double per_s = kProbeSpend / std::max(set_.price_probe, 1e-4) * std::max(arrivals_.value, 1.0);
         return std::clamp(Duration{1000 * n / per_s}, kProbeIntervalMin, kProbeInterval);
     }
@@ -705,12 +703,10 @@
     // is passed over. Where the aim would be missed the request waits here: it can still be given up safely.
     std::optional<std::size_t> look(Request& r) {
         answered_.clear();
-        std::size_t n = turn_order_.size(), pair_end = 0;
-        while (pair_end < n) {
-            std::size_t from = pair_end;
-            pair_end = std::min(n, pair_end + kLookWidth);
+        std::size_t n = turn_order_.size();
+        for (std::size_t from = 0; from < n; from += kLookWidth) {
             bool waiting = false, found = false;
-            for (std::size_t k = from; k < pair_end; ++k) {
+            for (std::size_t k = from; k < std::min(n, from + kLookWidth); ++k) {
                 std::size_t i = in_turn(k);
                 Server& s = servers_[i];
                 bool fresh = now_ - s.foreign_at <= kLookFresh;
@@ -1000,10 +996,10 @@
     std::vector<Request*> queue_;                      // waiting, most urgent first
     std::vector<RequestId> done_;
     Shares shares_;
-    std::vector<std::size_t> ranked_, order_, members_, group_;  // all; in use; the subset; one turn's
-    std::size_t here_ = 0, width_ = kSubsetLeast;                // of order_: own zone where that counts
-    std::size_t sorted_ = 0;                                     // of turn_order_, from its begin
-    std::size_t unhealthy_ = 0;                                  // of order_
+    std::vector<std::size_t> ranked_, order_, group_;  // all; in use; one turn's
+    std::size_t here_ = 0, width_ = kSubsetLeast;      // of order_: own zone where that counts
+    std::size_t sorted_ = 0;                           // of turn_order_, from its begin
+    std::size_t members_ = 0, unhealthy_ = 0;          // of order_
     bool subset_stale_ = true, watching_ = false;
     std::vector<std::pair<double, std::size_t>> turn_order_, answered_;  // by less of a turn, then by place
     int looks_most_ = 0;  // looks for one request; none where probes carry no load
