Wait for a look as long as looks take where batches are coarse or the way is long

Cause: a look was waited for, and its report fresh, for 6 ms. Where the answer comes behind that it is late or stale, the next pair is asked, and so on till the request is given up.

Change: the longest of 6 ms, 2.5 granularities, and half as much again as answers to probes take in their median. Where that is over 6 ms a request waits for one look alone: each look served the newest that waited, and the others went on to wait for the next. None is made where it would take over a quarter of the request's time. While probes are answered in less than 4 ms and batches are no coarser than 2 ms nothing changes.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -38,8 +38,8 @@
 constexpr double kIdleGain = 0.1;     // weight of one outcome in the share of lost sends; part still tried
 constexpr double kIdleLoss = 0.3;     // more lost on idle connections than on others: they are dropped unseen
 constexpr Duration kSubsetAge{1000};  // how long a subset stands while the list and health do not change
-constexpr double kYieldMargin = 0.25;            // requests less that make the turn yield: reports are noisy
-constexpr Duration kLookFresh{6}, kLookWait{6};  // a report as good as a look; a later one: it stands still
+constexpr double kYieldMargin = 0.25;  // requests less that make the turn yield: reports are noisy
+constexpr Duration kLookLeast{6};      // a report as good as a look; a later one: it stands still
 // After a failed list call (in 6 s its news counts as told); discovery's time for one gateway's, for all.
 constexpr Duration kRewatchMin{125}, kRewatchFirst{375}, kRewatchMax{1800}, kListEach{50}, kListMost{3250};
 constexpr Duration kForgetAfter{60000};  // a server that the list lacks for this is forgotten
@@ -140,6 +140,7 @@
     std::vector<Attempt> attempts;
     int open = 0, looks = 0;             // attempts that are out; probes sent on its behalf
     std::optional<std::size_t> awaited;  // the server whose look it waits for
+    bool looked = false;  // waits for no more of them: where they take long, there is time for one or none
 };
 
 struct Fading {  // a value that falls off by itself while nothing new is learned of it
@@ -414,6 +415,7 @@
         bool ok = e.outcome == Outcome::Ok;
         if (ok && e.report.inflight) {
             note_report(s, *e.report.inflight);
+            look_took_ = std::max(kLookLeast / 3, look_took_ * (e.elapsed > look_took_ ? 1.04 : 0.96));
             if (e.report.queue) slots_ = std::max(slots_, std::round(*e.report.inflight - *e.report.queue));
         }
         if (ok) s.probed_at = s.probe_sent;  // a look that is answered stands for the probe by interval
@@ -428,7 +430,7 @@
     // keeps contradicting that (an answer under way does once), or turns work away while "idle", counts as
     // holding what the mean one does and is limited as without reports, until one agrees.
     void note_report(Server& s, double inflight) {
-        int settled = s.own - (now_ - s.last_send <= kLookFresh ? 1 : 0);
+        int settled = s.own - (now_ - s.last_send <= look_time() ? 1 : 0);
         if (settled > 0) s.lies = inflight < settled - 0.5 ? s.lies + 1 : 0;
         s.foreign = std::max(0.0, inflight - s.own);
         s.foreign_at = now_;
@@ -694,8 +696,12 @@
 
     bool idle(const Server& s) const { return held(s) < std::max(1.0, slots_); }
 
+    // Two batches and the rest of one, and half as much again as answers to probes take in their median.
+    // Guards against looks that are always late or stale, where batches are coarse or the way is long.
+    Duration look_time() const { return std::max({kLookLeast, 2.5 * set_.granularity, 1.5 * look_took_}); }
+
     bool look_is_out(const Server& s) const {
-        return s.probe_open && now_ - s.probe_sent < kLookWait - kClockStep;
+        return s.probe_open && now_ - s.probe_sent < look_time() - kClockStep;
     }
 
     // Exception, where probes carry load: before a send, the one in turn and the next are asked what they
@@ -709,16 +715,16 @@
             for (std::size_t k = from; k < std::min(n, from + kLookWidth); ++k) {
                 std::size_t i = in_turn(k);
                 Server& s = servers_[i];
-                bool fresh = now_ - s.foreign_at <= kLookFresh;
-                if (!fresh && !s.probe_open && r.looks < looks_most_) {
+                bool fresh = now_ - s.foreign_at <= look_time();
+                if (!fresh && !s.probe_open && !r.looked && r.looks < looks_most_) {
                     ++r.looks;
                     ask(s, i, false);
-                    start_timer(TimerKind::Look, kLookWait, r.id, 0);
+                    start_timer(TimerKind::Look, look_time(), r.id, 0);
                 }
                 if (fresh) {
                     answered_.push_back(turn_order_[k]);
                     found = found || idle(s);
-                } else if (look_is_out(s)) {
+                } else if (look_is_out(s) && !r.looked) {
                     waiting = true;
                     r.awaited = i;
                 }
@@ -743,6 +749,7 @@
         r.arrived = now_, r.give_up_at = e.give_up_at, r.uploading = e.uploading;
         Duration aim = c.aim + (e.effort ? c.aim_stretch * *e.effort : Duration{0});
         r.useful_until = c.late_worth > 0 ? r.give_up_at : std::min(now_ + aim, r.give_up_at);
+        r.looked = look_time() > std::max(kLookLeast, (r.useful_until - now_) / 4);
         r.worth = c.gain * (r.repeat ? kRepeatWorth : 1);
         if (e.tenant >= 0 && over_quota(e.tenant)) r.worth *= set_.over_share_worth;
         arrivals_ = {arrivals_.left(now_, kRateOver) + (r.repeat ? 0 : 0.2), now_};
@@ -791,6 +798,7 @@
         int misses = 0;
         for (Request* r : queue_) {
             if (r->awaited && look_is_out(servers_[*r->awaited])) continue;
+            r->looked = r->looked || (r->awaited && look_time() > kLookLeast);
             r->awaited.reset();
             if (auto to = pick(*r))
                 send(*r, *to);
@@ -1003,6 +1011,7 @@
     bool subset_stale_ = true, watching_ = false;
     std::vector<std::pair<double, std::size_t>> turn_order_, answered_;  // by less of a turn, then by place
     int looks_most_ = 0;  // looks for one request; none where probes carry no load
+    Duration look_took_ = kLookLeast / 3;
     std::vector<ClassState> class_state_;
     std::vector<std::pair<double, TimePoint>> tenants_;  // tokens, as of when
     std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
--- a/tests/other_settings_test.cpp
+++ b/tests/other_settings_test.cpp
@@ -88,7 +88,8 @@
             return std::count_if(tried.begin(), tried.end(), [&](double t) { return t >= from && t < to; });
         };
         EXPECT_GT(between(0, 1000), 8) << cls;
-        // Rests of 250 ms that double to 4 s: two in the first second, then four to eight, and never two at once.
+        // Rests of 250 ms that double to 4 s: two in the first second, then four to eight, and never two at
+        // once.
         EXPECT_LE(between(4000, 21'000), 9) << cls;
         EXPECT_GE(between(4000, 21'000), cls == 1 ? 1 : 3) << cls;
         for (std::size_t i = 1; i < tried.size(); ++i)
@@ -111,5 +112,79 @@
     }
 }
 
+struct Looked {
+    int asked = 0, served = 0, probes = 0;
+    double waited_ms = 0;
+};
+
+/// As a platform hands events over: in batches `granularity` apart, timers before answers. Probes are
+/// answered `way_ms` after they were sent; requests, one in 5 ms, take 20 ms and have 150.
+Looked in_batches(double granularity, double way_ms, bool looks) {
+    Settings set = make_settings();
+    set.probes_report_load = looks;
+    set.granularity = Duration{granularity};
+    for (ClassSettings& c : set.classes) c.aim = c.give_up = Duration{150};
+    Gateway g(set);
+    g.list(0, {entry(1), entry(2), entry(3), entry(4)});
+    Looked all;
+    std::multimap<double, Event> answers;
+    std::map<RequestId, double> came;
+    std::map<ServerId, double> held;
+    RequestId id = 0;
+    auto take = [&](const Actions& actions) {
+        for (const Action& action : actions) {
+            if (const auto* f = std::get_if<Forward>(&action)) {
+                all.waited_ms += g.now - came[f->request];
+                ++held[f->server];
+                answers.emplace(g.now + 20,
+                                AttemptEnded{f->request, 0, f->server, Outcome::Ok, Duration{20}, true, {}});
+            } else if (const auto* p = std::get_if<Probe>(&action)) {
+                ++all.probes;
+                double n = held[p->server];
+                LoadReport report{n, std::max(0.0, n - 4), {}};
+                answers.emplace(g.now + way_ms, ProbeEnded{p->server, Outcome::Ok, Duration{way_ms}, report});
+            }
+        }
+    };
+    for (double t = granularity; t < 10'000; t += granularity) {
+        g.now = t;
+        take(g.run_to(t));
+        while (!answers.empty() && answers.begin()->first <= t) {
+            Event event = answers.begin()->second;
+            answers.erase(answers.begin());
+            if (const auto* end = std::get_if<AttemptEnded>(&event)) {
+                all.served += t - came[end->request] <= 150;
+                --held[end->server];
+            }
+            take(g.tell(t, event));
+        }
+        for (; double(id) * 5 < t && t < 9500; ++id) {
+            came[id] = t;
+            ++all.asked;
+            take(g.arrive(t, id, 0, 150));
+        }
+    }
+    return all;
+}
+
+// The look that was waited for was late or stale when its answer was there, and the next pair was asked, and
+// so on. Where looks take long only the newest was sent by each, and the others waited for the next.
+TEST(Look, IsInTimeWhereBatchesAreCoarse) {
+    for (double granularity : {1.0, 2.0, 5.0, 10.0, 20.0, 40.0}) {
+        Looked seen = in_batches(granularity, 1, true);
+        EXPECT_GT(seen.served, 0.97 * seen.asked) << granularity;
+        EXPECT_LT(seen.probes, 2.5 * seen.asked) << granularity;
+    }
+}
+
+TEST(Look, IsInTimeWhereTheWayIsLong) {
+    for (double way_ms : {1.0, 4.0, 7.0, 15.0, 40.0}) {
+        Looked seen = in_batches(1, way_ms, true);
+        EXPECT_GT(seen.served, 0.97 * seen.asked) << way_ms;
+        EXPECT_LT(seen.probes, 2.5 * seen.asked) << way_ms;
+        EXPECT_LT(seen.waited_ms, (way_ms + 2) * seen.asked) << way_ms;
+    }
+}
+
 }  // namespace
 }  // namespace ochrehub::testing
