Count no price of probes where there are none

Cause: width_at kept a gateway's subset small for the price of probes, also where Limits.Probes is off and nobody sends one.

Change: without probes their price is zero.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -176,6 +176,7 @@
         }
         mean_gain_ = set_.classes.empty() ? 1 : std::max(1e-9, gain / double(set_.classes.size()));
         tenants_.assign(set_.tenants.size(), {kBurst, TimePoint{}});
+        if (!set_.probes) set_.price_probe = 0;  // none is sent, whatever one would cost
         double looks = kLookSpend / std::max(set_.price_probe, 1e-4);
         bool told = set_.probes && set_.probes_report_load;  // ... and no dearer than what looks gain
         looks_most_ = told && looks >= kLookWidth ? int(looks) : 0;
--- a/tests/other_settings_test.cpp
+++ b/tests/other_settings_test.cpp
@@ -186,5 +186,22 @@
     }
 }
 
+// A subset was kept small for the price of probes that nobody sends.
+TEST(Subset, WithoutProbesTheirPriceKeepsNoServerIdle) {
+    Settings set = unprobed();
+    set.price_probe = 0.03;
+    Gateway g(set);
+    std::vector<ListEntry> fleet;
+    for (ServerId s = 1; s <= 12; ++s) fleet.push_back(entry(s));
+    g.list(0, fleet);
+    std::set<ServerId> used;
+    auto serve = [&](ServerId s, double) {
+        used.insert(s);
+        return std::pair{Outcome::Ok, 20.0};
+    };
+    steady(g, 0, 20'000, 20, serve);
+    EXPECT_EQ(used.size(), 12u);
+}
+
 }  // namespace
 }  // namespace ochrehub::testing
