Tell clients with short deadlines to come back within their time

Cause: the module told whoever it refused to come back in 500 to 1,500 ms, also where a class's deadline, which spans all tries of a client, is shorter than that.

Change: a quarter to three quarters of the deadline where that is under 500 ms; else as before.

Test: Queue.TheAdviceOfARefusalIsWithinItsClientsTime, deadlines of 100 to 2,000 ms.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -72,6 +72,7 @@
 constexpr Duration kClockStep{0.002};  // clocks are told to the microsecond: closer than this is due
 constexpr double kAnswerTimes = 1.4;   // times the usual time for an answer that is kept for one
 constexpr double kWaitMost = 0.47;     // part of its time that a request waits for its first send
+constexpr Duration kRestLeast{500};    // for who is refused, 3 times at most; 1/4 of its time where less
 constexpr double kRepeatWorth = 0.3;   // a client's repeat has spent part of its time already
 
 enum class Health { Unknown, Healthy, Unhealthy };
@@ -938,7 +939,8 @@
     void give_up(Request& r) {  // every final answer that is not a server's passes here
         if (r.finished) return;
         Duration after{0};
-        if (set_.retry_after) after = std::min(set_.max_retry_after, Duration{500 + 1000 * uniform()});
+        Duration patience = cls(r).give_up, rest = patience < kRestLeast ? patience / 4 : kRestLeast;
+        if (set_.retry_after) after = std::min(set_.max_retry_after, rest + 2 * rest * uniform());
         may_refuse(r) ? emit(Refuse{r.id, after}) : emit(Fail{r.id});
         conclude(r);
     }
--- a/tests/other_settings_test.cpp
+++ b/tests/other_settings_test.cpp
@@ -203,5 +203,28 @@
     EXPECT_EQ(used.size(), 12u);
 }
 
+// Told to come back when they had given up.
+TEST(Queue, TheAdviceOfARefusalIsWithinItsClientsTime) {
+    for (double deadline : {100.0, 200.0, 400.0, 600.0, 2000.0}) {
+        Settings set = unprobed();
+        set.retry_after = true;
+        set.max_retry_after = Duration{1200};
+        for (ClassSettings& c : set.classes) c.aim = c.give_up = Duration{deadline};
+        Gateway g(set);
+        g.list(0, {});
+        double least = 1e9, most = 0;
+        for (RequestId id = 0; id < 200; ++id) {
+            g.arrive(g.now + 10, id, 0, deadline);
+            for (const Refuse& r : all_of<Refuse>(g.run_to(g.now + deadline))) {
+                least = std::min(least, r.retry_after.count());
+                most = std::max(most, r.retry_after.count());
+            }
+        }
+        bool sooner = deadline < 500;
+        EXPECT_NEAR(least, sooner ? deadline / 4 : 500, 15) << deadline;
+        EXPECT_NEAR(most, sooner ? 0.75 * deadline : 1200, 15) << deadline;
+    }
+}
+
 }  // namespace
 }  // namespace ochrehub::testing
