Give the door room for what answers take usually

Cause: what may be open is what is served in 400 ms. Where answers take 300 ms and more with nothing wrong, more than that stands open by itself: it is refused, so less is served, and the room falls with it.

Change: the larger of 400 ms and twice the usual time of a server's answer, over what is served, as Weather learns it while it is calm or busy. Where answers take less than 200 ms usually nothing changes.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -22,6 +22,7 @@
 constexpr double kRoomShared = 0.8;   // ... of its part, till where a tenant may use what others leave
 constexpr double kShareSlack = 3;     // how far chance carries one that is at its share, in its standard deviations
 constexpr Duration kRoomTime{400};    // ... and never more than are served in this time, by the most of late
+constexpr double kRoomTimes = 2;      // ... or in so many times what answers take usually, if that is more
 constexpr double kRoomAlways = 24;    // ... but so many, of a node that serves few
 constexpr Duration kMostFade{30000};
 constexpr Duration kOnTime{100};     // by which one may be early or late
@@ -197,8 +198,10 @@
     double rate = most_ * std::exp(-((now - most_at_) / kMostFade));
     double room = room_;
     if (!began_) began_ = now;
-    // Behind a start nothing is known of the rate yet, and a burst is no storm.
-    if (now - *began_ >= kServedOver) room = std::min(room, std::max(kRoomAlways, rate * kRoomTime.count() / 1000));
+    // Behind a start nothing is known of the rate yet, and a burst is no storm. What answers take when nothing is
+    // wrong stands there by itself: as little room as that would be refused for no need, and the rate fall with it.
+    Duration time = std::max(kRoomTime, Duration{kRoomTimes * usual_ms_});
+    if (now - *began_ >= std::max(kServedOver, 2 * time)) room = std::min(room, std::max(kRoomAlways, rate * time.count() / 1000));
     room *= part;
     if (!bounded_) return true;
     if (double(open_) >= std::max(1.0, room)) return false;
@@ -225,6 +228,7 @@
     served_at_ = now;
     most_ = std::max(served_, most_ * std::exp(-((now - most_at_) / kMostFade)));
     most_at_ = now;
+    usual_ms_ += (usual_ms_ > 0 ? kTookGain : 1) * (weather_.usual_ms(knock.cls) - usual_ms_);
     Class& c = classes_[std::size_t(knock.cls)];
     c.took_ms += (c.took_ms > 0 ? kTookGain : 1) * (took.count() - c.took_ms);
 }
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -139,6 +139,7 @@
     Weather weather_;
     double served_ = 0;  // a second, smoothed over kServedOver
     double most_ = 0;    // ... at most, of late
+    double usual_ms_ = 0;  // of a server's answer, over what is served
     TimePoint served_at_{}, most_at_{};
     std::optional<TimePoint> began_;  // the first request came
 };
--- a/src/admission/weather.cpp
+++ b/src/admission/weather.cpp
@@ -191,6 +191,11 @@
     }
 }
 
+double Weather::usual_ms(int cls) const {
+    const Class& c = classes_[std::size_t(cls)];
+    return c.steps > 0 ? std::exp(c.usual) : 0;
+}
+
 Weather::State Weather::judge() const {
     const Signs& s = signs_;
     if (s.draining >= 1 && s.draining + s.fresh >= 2) return State::Release;
--- a/src/admission/weather.h
+++ b/src/admission/weather.h
@@ -1,6 +1,6 @@
 // What the weather is at a node, by what it can know by itself: what comes, how much of that is asked again, what is
 // refused, how soon servers answer against what they took before, and which servers leave and come. No clock, no
-// sockets; every call says what time it is. Nothing is decided by it: a door that tightened because a storm is called
+// sockets; every call says what time it is. Nothing is decided by what it calls: a door that tightened because a storm is called
 // would make the refusals that call the next one.
 #pragma once
 
@@ -57,6 +57,8 @@
     std::optional<Change> look(TimePoint now);
 
     State state() const { return state_; }
+    /// What a server's answer takes usually, in ms; zero: not known.
+    double usual_ms(int cls) const;
     TimePoint since() const { return since_; }
     const Signs& signs() const { return signs_; }
     /// But for an entry a class, a tenant and a listed server it is fixed.
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -127,6 +127,46 @@
     EXPECT_GE(open_at(1e6), 21) << "never nothing, whatever is forgotten";
 }
 
+// What a server takes for each stands open by itself. Where 400 ms were less than that, most were refused for no need, the
+// rate fell with what was let in, and the room with it.
+TEST(Door, LongUsualTimesNeedRoomForWhatStandsThereByItself) {
+    for (double took : {50.0, 200.0, 300.0, 400.0, 900.0, 2500.0}) {
+        Door door({{5, 3, 8, 3}, std::vector<Duration>(4, Duration{10'000}), {}, 100'000, Duration{1200}, 7, true});
+        std::multimap<double, int> open;
+        int asked = 0, refused = 0, cls = 0;
+        for (double t = 0; t < 60'000; t += 5, cls = (cls + 1) % 4) {
+            while (!open.empty() && open.begin()->first <= t) {
+                door.leave(at(open.begin()->first), {open.begin()->second}, true, Duration{took}, Duration{took});
+                open.erase(open.begin());
+            }
+            door.look(at(t));
+            bool enters = !door.arrive(at(t), {cls});
+            if (enters) open.emplace(t + took, cls);
+            if (t >= 5000 + 4 * took) ++asked, refused += !enters;
+        }
+        EXPECT_EQ(refused, 0) << took << " ms, of " << asked;
+    }
+}
+
+// ... and servers that slow down for a while get no more than before.
+TEST(Door, ASlowSpellIsNotTakenForWhatAnswersTakeUsually) {
+    Door door({{5, 3, 8, 3}, std::vector<Duration>(4, Duration{2000}), {}, 100'000, Duration{1200}, 7, true});
+    std::multimap<double, int> open;
+    std::size_t most = 0;
+    int cls = 0;
+    for (double t = 0; t < 40'000; t += 2, cls = (cls + 1) % 4) {  // 500 a second
+        double took = t < 10'000 ? 60 : 1200;
+        while (!open.empty() && open.begin()->first <= t) {
+            door.leave(at(open.begin()->first), {open.begin()->second}, true, Duration{took}, Duration{took});
+            open.erase(open.begin());
+        }
+        door.look(at(t));
+        if (!door.arrive(at(t), {cls})) open.emplace(t + took, cls);
+        if (t < 20'000) most = std::max(most, open.size());
+    }
+    EXPECT_LT(most, 0.9 * 0.4 * 500 + 10);
+}
+
 // A node that has just started, or that stood still, has many requests at once and knows no rate yet.
 TEST(Door, ABurstBehindAStartEnters) {
     Door door(settings(300));
