Let the door tell clients with short deadlines to come back within their time

Cause: a refusal at the door said to come back in 250 ms at the soonest and within 800 ms at the least, also where clients give up before that.

Change: a quarter of the class's deadline, and a window of half of it, where the deadline is under 500 ms. The window still grows with the crowd that is to come. Who is refused unread is told as before.

Test: Door.AdviceIsWithinTheTimeOfClientsThatWaitBriefly; without the mend 252 to 1,048 ms are told with a deadline of 200 ms, with it 50 to 150 (within 40).

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -8,6 +8,7 @@
 
 constexpr Duration kSoonest{250};     // no sooner: a refusal must be a rest
 constexpr Duration kShortest{800};    // of a window: few who come together are no crowd
+constexpr double kSoonestPart = 0.25, kShortestPart = 0.5;  // ... of the time of clients who wait for less than twice kSoonest
 constexpr int kLooks = 4;             // slots that are looked at for the emptiest
 constexpr std::uint64_t kEarly = 2;   // slots by which one may be early, for the way
 constexpr std::uint64_t kLate = 4;    // ... or late
@@ -41,13 +42,15 @@
     from_ = std::max(from_, keep);
 }
 
-Duration Appointments::give(TimePoint now, double rate) {
+Duration Appointments::give(TimePoint now, double rate, Duration patience) {
     if (most_.count() <= 0) return Duration{0};
     advance(now);
+    bool brief = patience.count() > 0 && patience < 2 * kSoonest;
+    Duration soonest = brief ? kSoonestPart * patience : kSoonest, shortest = brief ? kShortestPart * patience : kShortest;
     Duration last = std::min(most_, kSlot * double(kSlots - 2 * kLate));
-    Duration first = std::min(kSoonest, last / 2);
+    Duration first = std::min(soonest, last / 2);
     Duration needed = rate > 0 ? Duration{1000 * double(booked_) / rate} : last;
-    Duration window = std::min(last - first, std::max(kShortest, needed));
+    Duration window = std::min(last - first, std::max(shortest, needed));
     Duration best{0};
     std::uint16_t least = 0;
     for (int look = 0; look < kLooks; ++look) {
@@ -130,7 +133,9 @@
           give_up.resize(settings.worth.size(), Duration{1000});
           return give_up;
       }(), settings.shares.size()) {
-    for (double worth : settings.worth) classes_.push_back({worth, 0});
+    for (double worth : settings.worth) classes_.push_back({worth, 0, {}});
+    for (std::size_t i = 0; i < std::min(classes_.size(), settings.give_up.size()); ++i)
+        classes_[i].give_up = settings.give_up[i];
     double sum = 0;
     for (double share : settings.shares) sum += share;
     for (double share : settings.shares) tenants_.push_back({sum > 0 ? std::max(share, 1e-3 * sum) : 1, 0});
@@ -234,17 +239,21 @@
 }
 
 Duration Door::refuse(TimePoint now, const Knock& knock) {
+    return advise(now, knock, classes_[std::size_t(knock.cls)].give_up);
+}
+
+Duration Door::advise(TimePoint now, const Knock& knock, Duration patience) {
     weather_.refused(now);
     if (!advises_) return Duration{0};
     double rate = served_ * std::exp(-((now - served_at_) / kServedOver));
-    Duration back = appointments_.give(now, kReturnsShare * rate);
+    Duration back = appointments_.give(now, kReturnsShare * rate, patience);
     if (std::uint64_t who = known_as(knock)) heed_.told(now, who, back);
     return back;
 }
 
 Duration Door::turn_away(TimePoint now, const Knock& knock) {
     weather_.came(now, knock.tenant, knock.repeat);
-    return refuse(now, knock);
+    return advise(now, knock, {});  // nobody has read what it asks for
 }
 
 }  // namespace ochrehub
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -26,8 +26,9 @@
 
     Appointments(Duration most, std::uint64_t seed) : most_(most), random_(seed) {}
 
-    /// `rate`: returns a second that the tier can take; it may be zero.
-    Duration give(TimePoint now, double rate);
+    /// `rate`: returns a second that the tier can take; it may be zero. `patience`: how long the client waits over all
+    /// its tries; zero: not known.
+    Duration give(TimePoint now, double rate, Duration patience = {});
     /// A repeat comes. True: it has a seat, which is taken; else it comes out of turn.
     bool keep(TimePoint now);
     std::size_t booked(TimePoint now);
@@ -118,7 +119,9 @@
 private:
     struct Class {
         double worth = 1, took_ms = 0;  // of those served
+        Duration give_up{};
     };
+    Duration advise(TimePoint now, const Knock& knock, Duration patience);
     double part(const Class& cls) const;
     struct Tenant {
         double share = 1;
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -188,6 +188,27 @@
     EXPECT_EQ(door.refuse(at(0), {}).count(), 0);
 }
 
+// Told to come back when they had given up.
+TEST(Door, AdviceIsWithinTheTimeOfClientsThatWaitBriefly) {
+    Door::Settings set = settings(100);
+    set.give_up = {Duration{200}, Duration{400}, Duration{500}, Duration{2000}};
+    const std::vector<std::pair<double, double>> span = {{50, 150}, {100, 300}, {250, 1050}, {250, 1050}};
+    for (int cls = 0; cls < 4; ++cls) {
+        Door door(set);
+        double least = 1e9, most = 0;
+        for (int i = 0; i < 100; ++i) {
+            double t = 3000 * i + 1000;
+            serve(door, t - 1000, t, 100);
+            double back = door.refuse(at(t), {cls}).count();
+            least = std::min(least, back), most = std::max(most, back);
+            EXPECT_TRUE(door.arrive(at(t + back), {cls, kNone, true}) == std::nullopt) << "it has a seat";
+            door.leave(at(t + back + 20), {cls}, true, Duration{20});
+        }
+        EXPECT_NEAR(least, span[std::size_t(cls)].first, 40) << cls;
+        EXPECT_NEAR(most, span[std::size_t(cls)].second, 40) << cls;
+    }
+}
+
 Door shared_door(std::size_t room = 100) {
     return Door({{5, 3, 8, 3}, {}, {0.5, 0.25, 0.25}, room, Duration{1200}, 7, true});
 }
