--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -472,9 +472,7 @@
         if (s.health == Health::Unhealthy && s.was_down && s.successes == 1)
             s.started = now_, s.cold_until = TimePoint::min();  // back from an outage: cold, list or not
         if (s.health == Health::Unhealthy && s.successes < kSuccessesToReturn) return;
-        s.was_down = false;
-        s.health = Health::Healthy;
-        subset_stale_ = true;
+        s.was_down = false, s.health = Health::Healthy, subset_stale_ = true;
     }
 
     void note_failure(Server& s, bool away) {
@@ -568,8 +566,7 @@
     void learn_pace(Server& s, double ratio) {
         ratio = std::min(ratio, kPaceMost);
         s.pace = pace(s) + kPaceGain * (ratio - pace(s));
-        s.pace_at = now_;
-        s.weight_at = TimePoint::min();
+        s.pace_at = now_, s.weight_at = TimePoint::min();
         fleet_pace_ = {fleet_pace() + kFleetPaceGain * (ratio - fleet_pace()) - kPaceUsual, now_};
     }
 
@@ -671,8 +668,7 @@
 
     // The rotation yields to the next in turn if that holds less. Exception: while the one chosen would make
     // the request wait, or lies in another zone and crossing costs, the turn moves on to the first that would
-    // not, or to the least wait there is. Crossing counts as one request more, so that a zone with more
-    // callers than servers still spreads.
+    // not, or to the least wait there is. Crossing counts as one request more: a crowded zone still spreads.
     std::size_t yield_in_turn() {
         std::size_t best = in_turn(0);
         for (std::size_t k = 1; k < turn_order_.size(); ++k) {
