Do not leave the last server alone for turning work away

A server that turns work away at once is left for 150 to 450 ms, so that requests do not go from one that drains to the next. Where nobody else is there all wait, and what has less time is refused.

Change: only while another server is usable and not left itself.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -590,8 +590,7 @@
         double ratio = ms / std::max(1e-3, c.floor_ms) / queueing(a.held);
         learn_pace(s, ratio);
         if (s.pace > kPaceHigh && now_ - s.limit_cut > elapsed) {
-            s.limit = std::max(limit_min(), s.limit * 0.85);
-            s.limit_cut = now_;
+            s.limit = std::max(limit_min(), s.limit * 0.85), s.limit_cut = now_;
         } else if (s.pace < kPaceLow && s.own + 1 >= s.limit * share(s)) {  // of a cold one a part is used
             s.limit += std::min(s.limit, 1.25 / (1 + s.limit));
         }
@@ -887,7 +886,8 @@
         if (e.outcome != Outcome::Full) return;
         // One that drains, which the list tells late, turns all away at once and so is always the idlest:
         // else each request would go from one such to the next till its attempts are used up.
-        if (e.elapsed.count() < state(r).floor_ms)
+        auto open = [this](std::size_t i) { return usable(servers_[i]) && now_ >= servers_[i].shut_until; };
+        if (e.elapsed.count() < state(r).floor_ms && std::ranges::count_if(order_, open) > 1)
             s.shut_until = std::max(s.shut_until, now_ + kFullRest * (0.5 + uniform()));
         s.limit = std::max(limit_min(), s.limit * 0.7);
         if (a.held < 2 * slots_) s.lies += 2;
--- a/tests/other_settings_test.cpp
+++ b/tests/other_settings_test.cpp
@@ -213,6 +213,23 @@
     EXPECT_EQ(used.size(), 12u);
 }
 
+// One that turned work away was left for 150 to 450 ms, also where nobody else could take it.
+TEST(Attempts, TheLastServerThatIsLeftIsNotLeftForTurningWorkAway) {
+    for (ServerId servers : {1u, 2u}) {
+        Settings set = unprobed();
+        for (ClassSettings& c : set.classes) c.aim = c.give_up = Duration{100};
+        Gateway g(set);
+        std::vector<ListEntry> fleet;
+        for (ServerId s = 1; s <= servers; ++s) fleet.push_back(entry(s));
+        g.list(0, fleet);
+        int n = 0;
+        auto serve = [&](ServerId, double) {
+            return ++n % 25 == 0 ? std::pair{Outcome::Full, 1.0} : std::pair{Outcome::Ok, 10.0};
+        };
+        EXPECT_GT(steady(g, 1000, 20'000, 100, serve, 0, 100).share(), 0.94) << servers;
+    }
+}
+
 // Told to come back when they had given up.
 TEST(Queue, TheAdviceOfARefusalIsWithinItsClientsTime) {
     for (double deadline : {100.0, 200.0, 400.0, 600.0, 2000.0}) {
