--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -632,7 +632,7 @@
 
     std::optional<std::size_t> pick_among(Request& r, std::size_t from, std::size_t to) {
         double total = 0;
-        turn_order_.clear();
+        turn_order_.clear(), sorted_ = 0;
         for (int tries = 0; tries < kWidenings && turn_order_.empty() && from < to; ++tries) {
             group_.clear();
             total = 0;
@@ -656,7 +656,6 @@
             if (2 * busy > group_.size() && r.worth <= mean_gain_) break;  // busy, not lost: wait here
         }
         if (turn_order_.empty()) return std::nullopt;
-        sorted_ = 0;
         auto chosen = looks_most_ > 0 && !crowded_ ? look(r) : std::optional(yield_in_turn());
         if (!chosen) return std::nullopt;
         for (std::size_t i : group_)
@@ -769,7 +768,8 @@
 
     Duration start_by(const Request& r) const {  // latest useful start, from now
         double usual = std::min(state(r).floor_ms, kFloorMax * cls(r).aim.count());
-        TimePoint by = r.useful_until - Duration{kAnswerTimes * usual * fleet_pace()} - kWire;
+        TimePoint by = r.useful_until - Duration{kAnswerTimes * usual * fleet_pace()};
+        by -= std::min(kWire, (r.useful_until - r.arrived) / 10);
         // What has not been sent by half of its time is better told to come back while there is time for it.
         if (r.attempts.empty()) by = std::min(by, r.arrived + kWaitMost * (r.give_up_at - r.arrived));
         return by - now_;
--- a/tests/other_settings_test.cpp
+++ b/tests/other_settings_test.cpp
@@ -52,6 +52,19 @@
         }
 }
 
+// What was kept back for the way to the client was 2 ms of any deadline: with 0.78 of the aim for the answer,
+// all of 5.
+TEST(Queue, ADeadlineOfAFewMillisecondsIsNotRefusedAsItComes) {
+    for (double deadline : {5.0, 8.0, 20.0}) {
+        Settings set = unprobed();
+        for (ClassSettings& c : set.classes) c.aim = c.give_up = Duration{deadline};
+        Gateway g(set);
+        g.list(0, {entry(1)});
+        auto serve = [&](ServerId, double) { return std::pair{Outcome::Ok, 0.42 * deadline}; };
+        EXPECT_GT(steady(g, 1000, 10'000, 40, serve, 0, deadline).share(), 0.98) << deadline;
+    }
+}
+
 // ... and yet a long slow spell teaches nothing: limits stay where they are at slow servers.
 TEST(Usual, ASlowSpellIsNotTakenForTheUsualWhereAimsAreWide) {
     Settings set = unprobed();
