--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -8,6 +8,7 @@
 
 constexpr Duration kSoonest{250};     // no sooner: a refusal must be a rest
 constexpr Duration kShortest{800};    // of a window: few who come together are no crowd
+constexpr double kSoonestPart = 0.25, kShortestPart = 0.5;  // ... of the time of clients who wait for less than twice kSoonest
 constexpr int kLooks = 4;             // slots that are looked at for the emptiest
 constexpr std::uint64_t kEarly = 2;   // slots by which one may be early, for the way
 constexpr std::uint64_t kLate = 4;    // ... or late
@@ -22,6 +23,7 @@
 constexpr double kRoomShared = 0.8;   // ... of its part, till where a tenant may use what others leave
 constexpr double kShareSlack = 3;     // how far chance carries one that is at its share, in its standard deviations
 constexpr Duration kRoomTime{400};    // ... and never more than are served in this time, by the most of late
+constexpr double kRoomTimes = 2;      // ... or in so many times what answers take usually, if that is more
 constexpr double kRoomAlways = 24;    // ... but so many, of a node that serves few
 constexpr Duration kMostFade{30000};
 constexpr Duration kOnTime{100};     // by which one may be early or late
@@ -40,13 +42,15 @@
     from_ = std::max(from_, keep);
 }
 
-Duration Appointments::give(TimePoint now, double rate) {
+Duration Appointments::give(TimePoint now, double rate, Duration patience) {
     if (most_.count() <= 0) return Duration{0};
     advance(now);
+    bool brief = patience.count() > 0 && patience < 2 * kSoonest;
+    Duration soonest = brief ? kSoonestPart * patience : kSoonest, shortest = brief ? kShortestPart * patience : kShortest;
     Duration last = std::min(most_, kSlot * double(kSlots - 2 * kLate));
-    Duration first = std::min(kSoonest, last / 2);
+    Duration first = std::min(soonest, last / 2);
     Duration needed = rate > 0 ? Duration{1000 * double(booked_) / rate} : last;
-    Duration window = std::min(last - first, std::max(kShortest, needed));
+    Duration window = std::min(last - first, std::max(shortest, needed));
     Duration best{0};
     std::uint16_t least = 0;
     for (int look = 0; look < kLooks; ++look) {
@@ -129,7 +133,9 @@
           give_up.resize(settings.worth.size(), Duration{1000});
           return give_up;
       }(), settings.shares.size()) {
-    for (double worth : settings.worth) classes_.push_back({worth, 0});
+    for (double worth : settings.worth) classes_.push_back({worth, 0, {}});
+    for (std::size_t i = 0; i < std::min(classes_.size(), settings.give_up.size()); ++i)
+        classes_[i].give_up = settings.give_up[i];
     double sum = 0;
     for (double share : settings.shares) sum += share;
     for (double share : settings.shares) tenants_.push_back({sum > 0 ? std::max(share, 1e-3 * sum) : 1, 0});
@@ -197,8 +203,10 @@
     double rate = most_ * std::exp(-((now - most_at_) / kMostFade));
     double room = room_;
     if (!began_) began_ = now;
-    // Behind a start nothing is known of the rate yet, and a burst is no storm.
-    if (now - *began_ >= kServedOver) room = std::min(room, std::max(kRoomAlways, rate * kRoomTime.count() / 1000));
+    // Behind a start nothing is known of the rate yet, and a burst is no storm. What answers take when nothing is
+    // wrong stands there by itself: as little room as that would be refused for no need, and the rate fall with it.
+    Duration time = std::max(kRoomTime, Duration{kRoomTimes * usual_ms_});
+    if (now - *began_ >= std::max(kServedOver, 2 * time)) room = std::min(room, std::max(kRoomAlways, rate * time.count() / 1000));
     room *= part;
     if (!bounded_) return true;
     if (double(open_) >= std::max(1.0, room)) return false;
@@ -225,22 +233,27 @@
     served_at_ = now;
     most_ = std::max(served_, most_ * std::exp(-((now - most_at_) / kMostFade)));
     most_at_ = now;
+    usual_ms_ += (usual_ms_ > 0 ? kTookGain : 1) * (weather_.usual_ms(knock.cls) - usual_ms_);
     Class& c = classes_[std::size_t(knock.cls)];
     c.took_ms += (c.took_ms > 0 ? kTookGain : 1) * (took.count() - c.took_ms);
 }
 
 Duration Door::refuse(TimePoint now, const Knock& knock) {
+    return advise(now, knock, classes_[std::size_t(knock.cls)].give_up);
+}
+
+Duration Door::advise(TimePoint now, const Knock& knock, Duration patience) {
     weather_.refused(now);
     if (!advises_) return Duration{0};
     double rate = served_ * std::exp(-((now - served_at_) / kServedOver));
-    Duration back = appointments_.give(now, kReturnsShare * rate);
+    Duration back = appointments_.give(now, kReturnsShare * rate, patience);
     if (std::uint64_t who = known_as(knock)) heed_.told(now, who, back);
     return back;
 }
 
 Duration Door::turn_away(TimePoint now, const Knock& knock) {
     weather_.came(now, knock.tenant, knock.repeat);
-    return refuse(now, knock);
+    return advise(now, knock, {});  // nobody has read what it asks for
 }
 
 }  // namespace ochrehub
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -38,24 +38,25 @@
 constexpr double kIdleGain = 0.1;     // weight of one outcome in the share of lost sends; part still tried
 constexpr double kIdleLoss = 0.3;     // more lost on idle connections than on others: they are dropped unseen
 constexpr Duration kSubsetAge{1000};  // how long a subset stands while the list and health do not change
-constexpr double kYieldMargin = 0.25;            // requests less that make the turn yield: reports are noisy
-constexpr Duration kLookFresh{6}, kLookWait{6};  // a report as good as a look; a later one: it stands still
+constexpr double kYieldMargin = 0.25;  // requests less that make the turn yield: reports are noisy
+constexpr Duration kLookLeast{6};      // a report as good as a look; a later one: it stands still
 // After a failed list call (in 6 s its news counts as told); discovery's time for one gateway's, for all.
 constexpr Duration kRewatchMin{125}, kRewatchFirst{375}, kRewatchMax{1800}, kListEach{50}, kListMost{3250};
-constexpr Duration kForgetAfter{60000};                  // a server that the list lacks for this is forgotten
-constexpr double kColdMargin = 0.75;    // part of a cold server's budget that is used: handshakes, chance
-constexpr double kColdSenders = 1.3;    // room for lists that differ for a while, and with them the shares
-constexpr double kColdReserve = 0.4;    // ... less so many times the root of the number sent, in sends
-constexpr Duration kRateOver{5000};     // time over which rates are told
-constexpr Duration kServedFade{60000};  // how long the most that this gateway got served is believed
-constexpr double kPaceGain = 0.15,
-                 kFleetPaceGain = 0.06;  // weight of one answer in a server's and the fleet's pace
-constexpr double kFloorMax = 0.4;        // a class's floor is believed up to this part of its aim
-constexpr Duration kPaceFade{3000};      // a server's pace is forgotten over this time without answers
+constexpr Duration kForgetAfter{60000};  // a server that the list lacks for this is forgotten
+constexpr double kColdMargin = 0.75;     // part of a cold server's budget that is used: handshakes, chance
+constexpr double kColdSenders = 1.3;     // room for lists that differ for a while, and with them the shares
+constexpr double kColdReserve = 0.4;     // ... less so many times the root of the number sent, in sends
+constexpr Duration kRateOver{5000};      // time over which rates are told
+constexpr Duration kServedFade{60000};   // how long the most that this gateway got served is believed
+constexpr double kPaceGain = 0.15, kFleetPaceGain = 0.06;  // weight of one answer: in one's, in all's
+constexpr double kFloorMax = 0.4;       // a class's floor is believed up to this part of its aim
+constexpr double kFloorOver = 1.4;      // ... or so many times the least that it was, if that is more
+constexpr int kFloorKnown = 100;        // ... and there were so many answers
+constexpr Duration kFloorRise{600000};  // ... which is forgotten over this time, upwards
+constexpr Duration kPaceFade{3000};     // a server's pace is forgotten over this time without answers
 constexpr double kPaceUsual = 1.4, kPaceMost = 6;  // where nothing is known; the most that one answer says
 constexpr Duration kWeightAge{50};                 // how long a weight is kept: it takes exponentials
-constexpr double kPaceHigh = 2.0,
-                 kPaceLow = 1.6;  // too much is held above the one; below the other it may grow
+constexpr double kPaceHigh = 2.0, kPaceLow = 1.6;  // above, too much is held; below, it may grow
 constexpr double kLimitStart = 3, kLimitStartMost = 3;  // in flight where nothing is known: of all; of one
 constexpr double kLimitLeast = 6;       // ... and at a slow one: fewer leave its core idle while they wait
 constexpr Duration kSpacingMost{2000};  // longest wait between two sends to a server not Unhealthy
@@ -63,16 +64,16 @@
 constexpr int kLiesToDoubt = 3;         // straight reports that own requests contradict
 constexpr double kForeignGain = 0.05;   // weight of one report in that mean
 constexpr double kRetryShare = 0.2, kBurst = 5;  // repeats per first try that may run twice; tokens at most
-constexpr double kCrossCheap = 0.1,
-                 kCrossMost = 0.5;     // part of the worth to cross for: at any time; late and well
-constexpr Duration kCrossFade{10000};  // how long bad crossings count: they are few
-constexpr int kQueueTries = 6;         // waiting requests that are tried before the rest are left
-constexpr Duration kQueueRest{3};      // ... and how long: less than a look is fresh
-constexpr Duration kWire{2};           // reserve for the way back to the client
-constexpr Duration kClockStep{0.002};  // clocks are told to the microsecond: closer than this is due
-constexpr double kAnswerTimes = 1.4;   // times the usual time for an answer that is kept for one
-constexpr double kWaitMost = 0.47;     // part of its time that a request waits for its first send
-constexpr double kRepeatWorth = 0.3;   // a client's repeat has spent part of its time already
+constexpr double kCrossCheap = 0.1, kCrossMost = 0.5;  // part of the worth to cross for; ... late, if well
+constexpr Duration kCrossFade{10000};                  // how long bad crossings count: they are few
+constexpr std::size_t kQueueTries = 6;  // waiting requests that are tried before the rest are left
+constexpr Duration kQueueRest{3};       // ... and how long: less than a look is fresh
+constexpr Duration kWire{2};            // reserve for the way back to the client
+constexpr Duration kClockStep{0.002};   // clocks are told to the microsecond: closer than this is due
+constexpr double kAnswerTimes = 1.4;    // times the usual time for an answer that is kept for one
+constexpr double kWaitMost = 0.47;      // part of its time that a request waits for its first send
+constexpr Duration kRestLeast{500};     // for who is refused, 3 times at most; 1/4 of its time where less
+constexpr double kRepeatWorth = 0.3;    // a client's repeat has spent part of its time already
 
 enum class Health { Unknown, Healthy, Unhealthy };
 enum class Fate { Open, NeverRan, MayHaveRun };
@@ -99,8 +100,8 @@
     int users = 0;           // gateways that are given it, as this one is; 0: each draws; -1: others are
     TimePoint answered_at = TimePoint::min();  // last success of a probe or an attempt
     bool probing = false;
-    Duration probe_rest{0};  // longer than the interval where its probes are answered badly
-    TimePoint probed_at{};   // when the last probe or look that was answered went out
+    Duration probe_rest{0};                         // behind a bad answer to a probe, or a bad end on trial
+    TimePoint probed_at{};                          // when the last probe or look that was answered went out
     bool probe_open = false, probe_counts = false;  // one is out; by interval, else a look, which says little
     std::uint64_t probe_epoch = 0;
     double turn = 0;               // current weight of the smooth weighted rotation
@@ -140,11 +141,7 @@
     std::vector<Attempt> attempts;
     int open = 0, looks = 0;             // attempts that are out; probes sent on its behalf
     std::optional<std::size_t> awaited;  // the server whose look it waits for
-};
-
-struct ClassState {
-    double floor_ms = 0;  // time of an answer that did not wait
-    bool seen = false;
+    bool looked = false;  // waits for no more of them: where they take long, there is time for one or none
 };
 
 struct Fading {  // a value that falls off by itself while nothing new is learned of it
@@ -153,6 +150,12 @@
     double left(TimePoint now, Duration over) const { return value * std::exp(-((now - at) / over)); }
 };
 
+struct ClassState {
+    double floor_ms = 0, seen_ms = 0;  // time of an answer that did not wait: as believed, as seen
+    Fading least;                      // the least of the latter; rises by itself
+    int answers = 0;
+};
+
 enum class TimerKind { ProbeDue, ProbeLate, Rewatch, Start, Overdue, Look };
 struct Timer {
     TimePoint at{};
@@ -167,14 +170,14 @@
 class Balancer::Rules {
 public:
     Rules(Settings settings, std::uint64_t seed) : set_(std::move(settings)), random_(seed) {
-        class_state_.resize(set_.classes.size());
         double gain = 0;
-        for (std::size_t i = 0; i < set_.classes.size(); ++i) {
-            class_state_[i].floor_ms = set_.classes[i].aim.count() / 4;  // until the first answers
-            gain += set_.classes[i].gain;
+        for (const ClassSettings& c : set_.classes) {
+            class_state_.emplace_back().floor_ms = c.aim.count() / 4;  // until the first answers
+            gain += c.gain;
         }
         mean_gain_ = set_.classes.empty() ? 1 : std::max(1e-9, gain / double(set_.classes.size()));
         tenants_.assign(set_.tenants.size(), {kBurst, TimePoint{}});
+        if (!set_.probes) set_.price_probe = 0;  // none is sent, whatever one would cost
         double looks = kLookSpend / std::max(set_.price_probe, 1e-4);
         bool told = set_.probes && set_.probes_report_load;  // ... and no dearer than what looks gain
         looks_most_ = told && looks >= kLookWidth ? int(looks) : 0;
@@ -251,23 +254,19 @@
         }
     }
 
-    std::size_t place() {
-        auto found = std::find_if(servers_.begin(), servers_.end(), [](const Server& s) { return s.free; });
+    std::size_t place(ServerId id) {
+        auto found = std::ranges::find(servers_, true, &Server::free);
         if (found == servers_.end()) found = servers_.emplace(found);
-        found->free = false, found->listed_at = now_;
-        return std::size_t(found - servers_.begin());
+        found->id = id, found->free = false, found->listed_at = now_, found->rank = random_();
+        auto i = std::size_t(found - servers_.begin());
+        auto rank = [this](std::size_t k) { return servers_[k].rank; };
+        ranked_.insert(std::ranges::upper_bound(ranked_, found->rank, {}, rank), i);
+        return i;
     }
 
     void apply(const ListEntry& entry) {
         auto [it, fresh] = index_.try_emplace(entry.server, 0);
-        if (fresh) {
-            it->second = place();
-            Server& made = servers_[it->second];
-            made.id = entry.server;
-            made.rank = random_();
-            auto behind = [this](std::uint64_t rank, std::size_t i) { return rank < servers_[i].rank; };
-            ranked_.insert(std::upper_bound(ranked_.begin(), ranked_.end(), made.rank, behind), it->second);
-        }
+        if (fresh) it->second = place(entry.server);
         Server& s = servers_[it->second];
         bool restarted = entry.last_start && (!s.entry.last_start || *entry.last_start > *s.entry.last_start);
         bool returned = !s.named && entry.phase != Phase::Gone && !set_.removal_not_binding;
@@ -309,7 +308,6 @@
     void choose_members() {
         if (!subset_stale_ && now_ - subset_at_ < kSubsetAge) return;
         subset_stale_ = false, subset_at_ = now_;
-        auto is_listed = [](const Server& s) { return s.listed; };
         order_.clear();
         here_ = 0, total_size_ = 0;
         for (int wanted = 0; wanted < 3; ++wanted) {
@@ -320,10 +318,10 @@
         if (!zoned() || here_ == 0) here_ = order_.size();  // nobody here: there is no crossing to save
         for (std::size_t i : order_) total_size_ += servers_[i].entry.size;
         width_ = width_at(arrivals_.value);
+        for (Server& s : servers_) s.users = 0, s.member = false;
         share_out_servers();
-        for (Server& s : servers_) s.member = false;
-        members_.clear();
-        unhealthy_ = 0, avoided_ = std::size_t(std::count_if(servers_.begin(), servers_.end(), is_listed));
+        members_ = unhealthy_ = 0;
+        avoided_ = std::size_t(std::ranges::count(servers_, true, &Server::listed));
         for (std::size_t i : order_) {
             Server& s = servers_[i];
             if (s.limit <= 0) {  // gateways that are told together do not send together
@@ -333,9 +331,8 @@
             bool down = s.health == Health::Unhealthy;
             unhealthy_ += down;
             avoided_ -= s.listed && !down;
-            if (!down && members_.size() >= width_) continue;
-            s.member = !down;
-            if (s.member) members_.push_back(i);
+            if (!down && members_ >= width_) continue;
+            s.member = !down, members_ += !down;
             // One that was away meanwhile is probed no more; nothing else brings it back where it is down.
             if (s.probing || !set_.probes) continue;
             s.probing = true;
@@ -354,7 +351,6 @@
     // Guards against drawn subsets: two gateways at one server, thirteen at the next. All must come to the
     // same, so the width goes by the tenants' quotas, which all are told, and not by own arrivals.
     void share_out_servers() {
-        for (Server& s : servers_) s.users = 0;
         double quotas = 0;
         for (const TenantSettings& tenant : set_.tenants) quotas += tenant.quota_rps;
         std::size_t shared = width_at(quotas / set_.balancers);
@@ -364,8 +360,7 @@
         const Subset& shares = shares_.of(keys, set_.balancers, set_.me, shared);
         for (std::size_t k = 0; k < shares.users.size(); ++k)
             servers_[order_[k]].users = shares.mine[k] ? shares.users[k] : -1;
-        auto given = [this](std::size_t i) { return servers_[i].users >= 0; };
-        std::stable_partition(order_.begin(), order_.end(), given);
+        std::ranges::stable_partition(order_, [this](std::size_t i) { return servers_[i].users >= 0; });
     }
 
     double sharers() const {  // gateways that use a server, if all have subsets like this one's
@@ -389,7 +384,7 @@
     // As often as a small fixed share of the result pays for, over all that are probed. Guards against a
     // loop: the fewer are Healthy, the more the others are probed.
     Duration probe_interval() const {
-        double n = double(std::min(order_.size(), members_.size() + unhealthy_));
+        double n = double(std::min(order_.size(), members_ + unhealthy_));
         double per_s = kProbeSpend / std::max(set_.price_probe, 1e-4) * std::max(arrivals_.value, 1.0);
         return std::clamp(Duration{1000 * n / per_s}, kProbeIntervalMin, kProbeInterval);
     }
@@ -400,16 +395,16 @@
         if (!s.probing) return;
         Duration every = std::max(probe_interval(), s.probe_rest), rest = s.probed_at + every - now_;
         if (rest <= kClockStep) {
-            ask(s, i);
-            s.probe_counts = true;
+            ask(s, i, true);
             rest = every;
         }
         start_timer(TimerKind::ProbeDue, rest, i, s.probe_epoch);
     }
 
-    void ask(Server& s, std::size_t i) {
-        if (s.probe_open) return;
-        s.probe_open = true, s.probe_counts = false, s.probe_sent = now_;
+    void ask(Server& s, std::size_t i, bool counts) {
+        s.probe_counts = counts;
+        if (std::exchange(s.probe_open, true)) return;
+        s.probe_sent = now_;
         emit(Probe{s.id, kProbeTimeout});
         start_timer(TimerKind::ProbeLate, kProbeTimeout, i, s.probe_epoch);
     }
@@ -422,6 +417,7 @@
         bool ok = e.outcome == Outcome::Ok;
         if (ok && e.report.inflight) {
             note_report(s, *e.report.inflight);
+            look_took_ = std::max(kLookLeast / 3, look_took_ * (e.elapsed > look_took_ ? 1.04 : 0.96));
             if (e.report.queue) slots_ = std::max(slots_, std::round(*e.report.inflight - *e.report.queue));
         }
         if (ok) s.probed_at = s.probe_sent;  // a look that is answered stands for the probe by interval
@@ -433,11 +429,10 @@
     }
 
     // Guards against reports that are wrong (stuck, mixed up): own requests must be in them. A server that
-    // keeps contradicting that, or turns work away while "idle", counts as holding what the mean one does and
-    // is limited as without reports, until one agrees. An answer under way contradicts too, hence more than
-    // one is needed.
+    // keeps contradicting that (an answer under way does once), or turns work away while "idle", counts as
+    // holding what the mean one does and is limited as without reports, until one agrees.
     void note_report(Server& s, double inflight) {
-        int settled = s.own - (now_ - s.last_send <= kLookFresh ? 1 : 0);
+        int settled = s.own - (now_ - s.last_send <= look_time() ? 1 : 0);
         if (settled > 0) s.lies = inflight < settled - 0.5 ? s.lies + 1 : 0;
         s.foreign = std::max(0.0, inflight - s.own);
         s.foreign_at = now_;
@@ -456,13 +451,20 @@
     }
 
     // Exception: where most servers (of three or more) are Unhealthy, what made them so is shared or lies
-    // here, and one success is enough to be used again. Guards against a fleet that is back and waits for its
-    // second probes.
+    // here, and one success is enough. Guards against a fleet that is back and waits for its second probes.
     bool usable(const Server& s) const {
         if (s.health != Health::Unhealthy) return true;
         return s.successes > 0 && unhealthy_ > 2 && double(unhealthy_) > kPanicShare * double(order_.size());
     }
 
+    // Without probes an Unhealthy one is tried by one request at a time, a rest behind its last bad end: by
+    // one that may run twice, or by any where nobody is Healthy or no such has come for long.
+    bool may_try(const Server& s, const Request& r) const {
+        if (set_.probes || s.own > 0) return false;
+        bool any = unhealthy_ == order_.size() || now_ - s.shut_until > kProbeRestMost;
+        return any || cls(r).effect != Effect::SingleShot;
+    }
+
     void note_success(Server& s) {
         s.failures = 0, s.probe_rest = Duration{0};
         s.answered_at = now_, ++s.successes;
@@ -470,9 +472,7 @@
         if (s.health == Health::Unhealthy && s.was_down && s.successes == 1)
             s.started = now_, s.cold_until = TimePoint::min();  // back from an outage: cold, list or not
         if (s.health == Health::Unhealthy && s.successes < kSuccessesToReturn) return;
-        s.was_down = false;
-        s.health = Health::Healthy;
-        subset_stale_ = true;
+        s.was_down = false, s.health = Health::Healthy, subset_stale_ = true;
     }
 
     void note_failure(Server& s, bool away) {
@@ -566,8 +566,7 @@
     void learn_pace(Server& s, double ratio) {
         ratio = std::min(ratio, kPaceMost);
         s.pace = pace(s) + kPaceGain * (ratio - pace(s));
-        s.pace_at = now_;
-        s.weight_at = TimePoint::min();
+        s.pace_at = now_, s.weight_at = TimePoint::min();
         fleet_pace_ = {fleet_pace() + kFleetPaceGain * (ratio - fleet_pace()) - kPaceUsual, now_};
     }
 
@@ -575,22 +574,24 @@
         s.connected = true, s.used_at = now_, s.last_elapsed = elapsed;
         s.shuts = s.silent = 0;
         s.errors -= kErrorGain * s.errors, errors_ -= kFleetPaceGain * errors_;
-        ClassState& c = state(r);
+        ClassState& c = class_state_[std::size_t(r.cls)];
         double ms = elapsed.count() * share(s);
-        if (!std::exchange(c.seen, true)) c.floor_ms = ms;
+        if (c.answers++ == 0) c.floor_ms = c.seen_ms = c.least.value = ms, c.least.at = now_;
         // Settles near the lower third of the answers: those that met no queue. Never above a set part of the
-        // aim: a slow spell must not teach that nothing can be served.
-        c.floor_ms += (ms < c.floor_ms ? 0.04 : 0.02) * (ms - c.floor_ms);
-        c.floor_ms = std::min(c.floor_ms, kFloorMax * cls(r).aim.count());
+        // aim: a slow spell must not teach that nothing can be served. Exception: where answers take more at
+        // their best, the least of late. Guards against limits that never grow.
+        for (double* at : {&c.floor_ms, &c.seen_ms}) *at += (ms < *at ? 0.04 : 0.02) * (ms - *at);
+        c.least = {std::min(c.seen_ms, c.least.left(now_, -kFloorRise)), now_};
+        double most = kFloorMax * cls(r).aim.count();
+        if (c.answers >= kFloorKnown && c.least.value > most) most = kFloorOver * c.least.value;
+        c.floor_ms = std::min(c.floor_ms, most);
         served_ = {served_.left(now_, kRateOver) + 0.2 * c.floor_ms, now_};
         most_served_ = {std::max(served_.value, most_served_.left(now_, kServedFade)), now_};
         double ratio = ms / std::max(1e-3, c.floor_ms) / queueing(a.held);
         learn_pace(s, ratio);
         if (s.pace > kPaceHigh && now_ - s.limit_cut > elapsed) {
-            s.limit = std::max(limit_min(), s.limit * 0.85);
-            s.limit_cut = now_;
-        } else if (s.pace < kPaceLow &&
-                   s.own + 1 >= s.limit * share(s)) {  // of a cold one only a part is used
+            s.limit = std::max(limit_min(), s.limit * 0.85), s.limit_cut = now_;
+        } else if (s.pace < kPaceLow && s.own + 1 >= s.limit * share(s)) {  // of a cold one a part is used
             s.limit += std::min(s.limit, 1.25 / (1 + s.limit));
         }
     }
@@ -631,7 +632,7 @@
 
     std::optional<std::size_t> pick_among(Request& r, std::size_t from, std::size_t to) {
         double total = 0;
-        turn_order_.clear();
+        turn_order_.clear(), sorted_ = 0;
         for (int tries = 0; tries < kWidenings && turn_order_.empty() && from < to; ++tries) {
             group_.clear();
             total = 0;
@@ -639,25 +640,23 @@
             for (; from < to && group_.size() < width_; ++from) {
                 std::size_t i = order_[from];
                 Server& s = servers_[i];
-                if (!usable(s) || !in_use(s) || now_ < s.shut_until) continue;
+                if (!(usable(s) || may_try(s, r)) || !in_use(s) || now_ < s.shut_until) continue;
                 if (from >= here_ && r.worth <= mean_gain_ && !s.connected && width_ < order_.size())
                     continue;
-                auto is_it = [&](const Attempt& a) { return a.server == i; };
-                if (std::any_of(r.attempts.begin(), r.attempts.end(), is_it)) continue;
+                if (std::ranges::find(r.attempts, i, &Attempt::server) != r.attempts.end()) continue;
                 bool fit = may_send(r, s);
                 if (!fit && !r.attempts.empty()) continue;  // looks on for those that it may go to
                 group_.push_back(i);
                 total += weight(s);
                 if (fit && has_room(s))
-                    turn_order_.emplace_back(s.turn + weight(s), i);
+                    turn_order_.emplace_back(-s.turn - weight(s), i);
                 else
                     busy += fit;
             }
             if (2 * busy > group_.size() && r.worth <= mean_gain_) break;  // busy, not lost: wait here
         }
         if (turn_order_.empty()) return std::nullopt;
-        sorted_ = 0;
-        auto chosen = looks_most_ > 0 ? look(r) : std::optional(yield_in_turn());
+        auto chosen = looks_most_ > 0 && !crowded_ ? look(r) : std::optional(yield_in_turn());
         if (!chosen) return std::nullopt;
         for (std::size_t i : group_)
             servers_[i].turn = std::clamp(servers_[i].turn + weight(servers_[i]), -2 * total, 2 * total);
@@ -667,8 +666,7 @@
 
     // The rotation yields to the next in turn if that holds less. Exception: while the one chosen would make
     // the request wait, or lies in another zone and crossing costs, the turn moves on to the first that would
-    // not, or to the least wait there is. Crossing counts as one request more, so that a zone with more
-    // callers than servers still spreads.
+    // not, or to the least wait there is. Crossing counts as one request more: a crowded zone still spreads.
     std::size_t yield_in_turn() {
         std::size_t best = in_turn(0);
         for (std::size_t k = 1; k < turn_order_.size(); ++k) {
@@ -686,10 +684,7 @@
         if (k >= sorted_) {
             auto from = turn_order_.begin() + std::ptrdiff_t(sorted_);
             sorted_ = std::min(turn_order_.size(), 2 * k + 2);
-            std::partial_sort(from, turn_order_.begin() + std::ptrdiff_t(sorted_), turn_order_.end(),
-                              [](const auto& a, const auto& b) {
-                                  return a.first != b.first ? a.first > b.first : a.second < b.second;
-                              });
+            std::partial_sort(from, turn_order_.begin() + std::ptrdiff_t(sorted_), turn_order_.end());
         }
         return turn_order_[k].second;
     }
@@ -698,34 +693,35 @@
 
     bool idle(const Server& s) const { return held(s) < std::max(1.0, slots_); }
 
+    // Two batches and the rest of one, and half as much again as answers to probes take in their median.
+    // Guards against looks that are always late or stale, where batches are coarse or the way is long.
+    Duration look_time() const { return std::max({kLookLeast, 2.5 * set_.granularity, 1.5 * look_took_}); }
+
     bool look_is_out(const Server& s) const {
-        return s.probe_open && now_ - s.probe_sent < kLookWait - kClockStep;
+        return s.probe_open && now_ - s.probe_sent < look_time() - kClockStep;
     }
 
     // Exception, where probes carry load: before a send, the one in turn and the next are asked what they
     // hold; it moves on along the turn while those asked are busy. One that does not answer stands still and
-    // is passed over. Where the aim would be missed the request waits here, where it can still be given up
-    // safely.
+    // is passed over. Where the aim would be missed the request waits here: it can still be given up safely.
     std::optional<std::size_t> look(Request& r) {
         answered_.clear();
-        std::size_t n = turn_order_.size(), pair_end = 0;
-        while (pair_end < n) {
-            std::size_t from = pair_end;
-            pair_end = std::min(n, pair_end + kLookWidth);
+        std::size_t n = turn_order_.size();
+        for (std::size_t from = 0; from < n; from += kLookWidth) {
             bool waiting = false, found = false;
-            for (std::size_t k = from; k < pair_end; ++k) {
+            for (std::size_t k = from; k < std::min(n, from + kLookWidth); ++k) {
                 std::size_t i = in_turn(k);
                 Server& s = servers_[i];
-                bool fresh = now_ - s.foreign_at <= kLookFresh;
-                if (!fresh && !s.probe_open && r.looks < looks_most_) {
+                bool fresh = now_ - s.foreign_at <= look_time();
+                if (!fresh && !s.probe_open && !r.looked && r.looks < looks_most_) {
                     ++r.looks;
-                    ask(s, i);
-                    start_timer(TimerKind::Look, kLookWait, r.id, 0);
+                    ask(s, i, false);
+                    start_timer(TimerKind::Look, look_time(), r.id, 0);
                 }
                 if (fresh) {
                     answered_.push_back(turn_order_[k]);
                     found = found || idle(s);
-                } else if (look_is_out(s)) {
+                } else if (look_is_out(s) && !r.looked) {
                     waiting = true;
                     r.awaited = i;
                 }
@@ -750,6 +746,7 @@
         r.arrived = now_, r.give_up_at = e.give_up_at, r.uploading = e.uploading;
         Duration aim = c.aim + (e.effort ? c.aim_stretch * *e.effort : Duration{0});
         r.useful_until = c.late_worth > 0 ? r.give_up_at : std::min(now_ + aim, r.give_up_at);
+        r.looked = look_time() > std::max(kLookLeast, (r.useful_until - now_) / 4);
         r.worth = c.gain * (r.repeat ? kRepeatWorth : 1);
         if (e.tenant >= 0 && over_quota(e.tenant)) r.worth *= set_.over_share_worth;
         arrivals_ = {arrivals_.left(now_, kRateOver) + (r.repeat ? 0 : 0.2), now_};
@@ -770,7 +767,9 @@
     }
 
     Duration start_by(const Request& r) const {  // latest useful start, from now
-        TimePoint by = r.useful_until - Duration{kAnswerTimes * state(r).floor_ms * fleet_pace()} - kWire;
+        double usual = std::min(state(r).floor_ms, kFloorMax * cls(r).aim.count());
+        TimePoint by = r.useful_until - Duration{kAnswerTimes * usual * fleet_pace()};
+        by -= std::min(kWire, (r.useful_until - r.arrived) / 10);
         // What has not been sent by half of its time is better told to come back while there is time for it.
         if (r.attempts.empty()) by = std::min(by, r.arrived + kWaitMost * (r.give_up_at - r.arrived));
         return by - now_;
@@ -779,8 +778,8 @@
     void enqueue(Request& r) {
         if (start_by(r).count() <= 0 || all_out()) return give_up(r);
         r.queued = true;
-        // Highest worth for the work first, as work is known now; among equals the newest: it can still be in
-        // time. Guards against newest last while all slow down and usual times rise.
+        // Highest worth for the work first, as work is known now; among equals the newest, which can still be
+        // in time. Guards against newest last while all slow down and usual times rise.
         auto behind = [this, its = urgency(r)](const Request* q) { return urgency(*q) <= its; };
         queue_.insert(std::find_if(queue_.begin(), queue_.end(), behind), &r);
         start_timer(TimerKind::Start, start_by(r), r.id, r.attempts.size());
@@ -794,9 +793,14 @@
         auto left = [](const Request* r) { return !r->queued; };
         std::erase_if(queue_, left);  // also where nothing is tried: what is over is about to be dropped
         if (queue_.empty() || now_ < resting_until_) return;
-        int misses = 0;
+        std::size_t misses = 0;
+        // Exception: a look serves one or two. Guards against many that wait for looks at servers with room.
+        auto waits = [this](const Request* r) { return r->awaited && look_is_out(servers_[*r->awaited]); };
+        crowded_ = queue_.size() > kQueueTries &&
+                   (crowded_ || std::size_t(std::ranges::count_if(queue_, waits)) > kQueueTries);
         for (Request* r : queue_) {
-            if (r->awaited && look_is_out(servers_[*r->awaited])) continue;
+            if (!crowded_ && waits(r)) continue;
+            r->looked = r->looked || (r->awaited && look_time() > kLookLeast);
             r->awaited.reset();
             if (auto to = pick(*r))
                 send(*r, *to);
@@ -868,17 +872,22 @@
 
     void judge(Server& s, const Request& r, Attempt& a, const AttemptEnded& e) {
         if (e.outcome == Outcome::Ok) note_answer(s, r, a, e.elapsed);
-        if (e.outcome == Outcome::Ok && usable(s)) note_success(s);
+        bool tried = !set_.probes && a.sent >= s.shut_until;  // not one of before its rest
+        if (e.outcome == Outcome::Ok && (usable(s) || tried)) note_success(s);
         if (e.outcome == Outcome::ConnectFailed) refused_connection(s);
         // A reset shows a broken connection, not that the server is away: of one that is, probes fail. Guards
-        // against resets from all servers alike that eject sound ones. One that stood idle is the
-        // connection's fault.
+        // against resets from all servers alike that eject sound ones. An idle connection's is its own fault.
         if (e.outcome == Outcome::Error || (e.outcome == Outcome::Reset && !a.idled)) blame(s);
         if (e.outcome == Outcome::Timeout && !a.overdue) overdue(s, a);
+        if (tried && s.health == Health::Unhealthy && e.outcome != Outcome::Ok) {
+            s.successes = 0, s.probe_rest = std::clamp(2 * s.probe_rest, kProbeRest, kProbeRestMost);
+            s.shut_until = std::max(s.shut_until, now_ + s.probe_rest);
+        }
         if (e.outcome != Outcome::Full) return;
         // One that drains, which the list tells late, turns all away at once and so is always the idlest:
         // else each request would go from one such to the next till its attempts are used up.
-        if (e.elapsed.count() < state(r).floor_ms)
+        auto open = [this](std::size_t i) { return usable(servers_[i]) && now_ >= servers_[i].shut_until; };
+        if (e.elapsed.count() < state(r).floor_ms && std::ranges::count_if(order_, open) > 1)
             s.shut_until = std::max(s.shut_until, now_ + kFullRest * (0.5 + uniform()));
         s.limit = std::max(limit_min(), s.limit * 0.7);
         if (a.held < 2 * slots_) s.lies += 2;
@@ -892,17 +901,15 @@
         if (s.errors > kErrorLeast + kErrorMore * errors_) note_failure(s, false);
     }
 
-    // A connection refused by a server that answers otherwise says that its table is full: it is left alone,
-    // by each gateway for its own time. Only a probe shows that it is away. Could hurt for an interval after
-    // a crash.
+    // A connection refused by a server that answers otherwise says that its table is full: each gateway
+    // leaves it for a time of its own. Only a probe shows that it is away. Could hurt just after a crash.
     void refused_connection(Server& s) {
         s.connected = false;
         s.shut_until = now_ + kShutFirst * ((0.5 + uniform()) * (s.shuts++ > 0 ? 2 : 1));
         if (now_ - s.answered_at > 1.5 * kProbeInterval) note_failure(s, !set_.probes);
     }
 
-    // A server that takes work and answers nothing passes its probes: attempts overdue count until a real
-    // answer.
+    // A server that takes work and answers nothing passes its probes: attempts overdue count until an answer.
     void overdue(Server& s, Attempt& a) {
         a.overdue = true;
         if (a.idled && reaped()) return;  // the connection's fault
@@ -912,8 +919,7 @@
     }
 
     // Exception: connections that stood idle are closed before a send while sends on such are lost far more
-    // than others; a few are tried. Guards against unseen drops. Could hurt where slow servers are the seldom
-    // used.
+    // than others; a few are tried. Guards against unseen drops. Could hurt where slow ones are seldom used.
     bool reaped() const { return idle_loss_ > used_loss_ + kIdleLoss; }
 
     void retry(Request& r, bool may_have_run, bool replayable) {
@@ -926,15 +932,15 @@
 
     bool may_refuse(const Request& r) const {
         const ClassSettings& c = cls(r);
-        auto never_ran = [](const Attempt& a) { return a.fate == Fate::NeverRan; };
-        return c.effect == Effect::Free || (c.effect == Effect::Guarded && c.scope == Scope::All) ||
-               std::all_of(r.attempts.begin(), r.attempts.end(), never_ran);
+        if (c.effect == Effect::Free || (c.effect == Effect::Guarded && c.scope == Scope::All)) return true;
+        return std::ranges::count(r.attempts, Fate::NeverRan, &Attempt::fate) == std::ssize(r.attempts);
     }
 
     void give_up(Request& r) {  // every final answer that is not a server's passes here
         if (r.finished) return;
         Duration after{0};
-        if (set_.retry_after) after = std::min(set_.max_retry_after, Duration{500 + 1000 * uniform()});
+        Duration patience = cls(r).give_up, rest = patience < kRestLeast ? patience / 4 : kRestLeast;
+        if (set_.retry_after) after = std::min(set_.max_retry_after, rest + 2 * rest * uniform());
         may_refuse(r) ? emit(Refuse{r.id, after}) : emit(Fail{r.id});
         conclude(r);
     }
@@ -956,7 +962,6 @@
     }
 
     const ClassSettings& cls(const Request& r) const { return set_.classes[std::size_t(r.cls)]; }
-    ClassState& state(const Request& r) { return class_state_[std::size_t(r.cls)]; }
     const ClassState& state(const Request& r) const { return class_state_[std::size_t(r.cls)]; }
 
     // ---- Timers
@@ -988,10 +993,7 @@
         }
     }
 
-    template <class T>
-    void emit(T&& action) {
-        out_->emplace_back(std::forward<T>(action));
-    }
+    void emit(auto&& action) { out_->emplace_back(std::forward<decltype(action)>(action)); }
 
     double uniform() { return double(random_() >> 11) * 0x1p-53; }
 
@@ -1005,13 +1007,14 @@
     std::vector<Request*> queue_;                      // waiting, most urgent first
     std::vector<RequestId> done_;
     Shares shares_;
-    std::vector<std::size_t> ranked_, order_, members_, group_;  // all; in use; the subset; one turn's
-    std::size_t here_ = 0, width_ = kSubsetLeast;                // of order_: own zone where that counts
-    std::size_t sorted_ = 0;                                     // of turn_order_, from its begin
-    std::size_t unhealthy_ = 0;                                  // of order_
-    bool subset_stale_ = true, watching_ = false;
-    std::vector<std::pair<double, std::size_t>> turn_order_, answered_;
+    std::vector<std::size_t> ranked_, order_, group_;  // all; in use; one turn's
+    std::size_t here_ = 0, width_ = kSubsetLeast;      // of order_: own zone where that counts
+    std::size_t sorted_ = 0;                           // of turn_order_, from its begin
+    std::size_t members_ = 0, unhealthy_ = 0;          // of order_
+    bool subset_stale_ = true, watching_ = false, crowded_ = false;
+    std::vector<std::pair<double, std::size_t>> turn_order_, answered_;  // by less of a turn, then by place
     int looks_most_ = 0;  // looks for one request; none where probes carry no load
+    Duration look_took_ = kLookLeast / 3;
     std::vector<ClassState> class_state_;
     std::vector<std::pair<double, TimePoint>> tenants_;  // tokens, as of when
     std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
@@ -1023,9 +1026,8 @@
            total_size_ = 1, retry_tokens_ = kBurst;
     TimePoint resting_until_{}, queue_due_{}, subset_at_{};
     int rewatch_tries_ = 0;
-    std::map<std::uint64_t, TimePoint> out_by_hand_;  // keys, and since when
-    std::map<std::uint64_t, std::pair<TimePoint, TimePoint>>
-        back_;  // put back of late: from when, till when out
+    std::map<std::uint64_t, TimePoint> out_by_hand_;                 // keys, and since when
+    std::map<std::uint64_t, std::pair<TimePoint, TimePoint>> back_;  // put back of late: out from, and till
     std::size_t avoided_ = 0;
     double part_ = 1;  // of this gateway's budgets: half while another process of it lives
 };
