Read lists longer than a buffer, up to 2 MiB

Discovery's answers are held whole now, up to 2 MiB; one without end is given up there. watcher_test: both long lists fail without the change (seen), 3 of 3 pass with it.

--- a/src/discovery/watcher.cpp
+++ b/src/discovery/watcher.cpp
@@ -19,6 +19,9 @@
 namespace {
 
 constexpr WatchSettings kWatch{};
+// Some 8,000 servers where the list comes indented. Guards against a fleet that outgrows a buffer: its list could never be
+// read, and the one from before would stay for good.
+constexpr std::uint64_t kListBytes = 2 << 20;
 
 }  // namespace
 
@@ -92,6 +95,7 @@
     auto connection = std::exchange(idle_, nullptr);
     if (!connection || connection->seen_closed())
         connection = std::make_shared<Connection>(io_, pool_, discovery_, kWatch.connect);
+    connection->hold_whole(kListBytes);
     out_.push_back({call.call, connection});
     connection->exchange("GET " + target + " HTTP/1.1\r\nHost: discovery\r\n\r\n", nullptr,
                          [this, number = call.call](const std::shared_ptr<Connection>&, const Connection::Result& result) {
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -40,7 +40,8 @@
       ends_whole_(ends_whole) {}
 
 void Connection::expect_answer() {
-    parser_.emplace(pool_, body_most_);
+    parser_.emplace(pool_, whole_most_ > 0 ? whole_most_ : body_most_);
+    if (whole_most_ > 0) parser_->hold_whole();
     if (head_only_) parser_->skip(true);
 }
 
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -60,6 +60,8 @@
         may_stream_ = true;
         body_most_ = body_most;
     }
+    /// All answers are held whole, up to `body_most` bytes: what is longer is Garbage.
+    void hold_whole(std::uint64_t body_most) { whole_most_ = body_most; }
     void when_streamed(Streamed streamed) { streamed_ = std::move(streamed); }
 
     /// Ends it at once. True if a request had been written whole.
@@ -117,7 +119,7 @@
     Done done_;
     Streamed streamed_;
     bool may_stream_ = false;
-    std::uint64_t body_most_ = 0;
+    std::uint64_t body_most_ = 0, whole_most_ = 0;
     std::shared_ptr<BodyStream> stream_;  // the rest of an answer that has been told
     Steady::time_point began_at_{};       // when the answer's first byte came
     Steady::time_point asked_at_{};       // just before the request's first byte was written
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -71,6 +71,8 @@
         if (body_most > 0) this->body_limit(body_most);
     }
     std::shared_ptr<HttpMessage> take() { return std::move(message_); }
+    /// The body is held whole, however long `body_most` lets it be.
+    void hold_whole() { held_whole_ = true; }
     /// The rest of the body goes into `stream` from now on, for whoever has the message.
     void pass_rest_to(std::shared_ptr<BodyStream> stream) {
         stream_ = std::move(stream);
@@ -120,7 +122,7 @@
     }
     void on_body_init_impl(const boost::optional<std::uint64_t>& length, Error&) override {
         if (length && *length <= kShortBody) message_->short_body.reserve(std::size_t(*length));
-        is_short_ = length && *length <= kShortBody;
+        is_short_ = held_whole_ || (length && *length <= kShortBody);
         if (length) length_ = *length;
     }
     std::size_t on_body_impl(Text body, Error& error) override {
@@ -130,7 +132,7 @@
             if (taken < body.size()) error = boost::beast::http::error::need_buffer;
             return taken;
         }
-        if (is_short_) {  // no more than its length comes
+        if (is_short_) {  // no more than its length or the limit comes
             message_->short_body.append(body.data(), body.size());
             return body.size();
         }
@@ -152,7 +154,7 @@
     std::shared_ptr<HttpMessage> message_;
     std::shared_ptr<BodyStream> stream_;
     std::optional<std::uint64_t> length_;
-    bool is_short_ = false, headed_ = false, begun_ = false, full_ = false, says_close_ = false;
+    bool held_whole_ = false, is_short_ = false, headed_ = false, begun_ = false, full_ = false, says_close_ = false;
 };
 
 /// The path of a request's target: without the host of a whole URL, and without the query.
