--- a/src/discovery/watcher.cpp
+++ b/src/discovery/watcher.cpp
@@ -22,6 +22,9 @@
 // Within a list that has begun. One may come in pieces, and machines stand still for up to 0.6 s; the watch's own clock
 // bounds the whole.
 constexpr std::chrono::milliseconds kPieceMost{1000};
+// Some 8,000 servers where the list comes indented. Guards against a fleet that outgrows a buffer: its list could never be
+// read, and the one from before would stay for good.
+constexpr std::uint64_t kListBytes = 2 << 20;
 
 }  // namespace
 
@@ -95,6 +98,7 @@
     auto connection = std::exchange(idle_, nullptr);
     if (!connection || connection->seen_closed())
         connection = std::make_shared<Connection>(io_, pool_, discovery_, kWatch.connect, kPieceMost);
+    connection->hold_whole(kListBytes);
     out_.push_back({call.call, connection});
     connection->exchange("GET " + target + " HTTP/1.1\r\nHost: discovery\r\n\r\n", nullptr,
                          [this, number = call.call](const std::shared_ptr<Connection>&, const Connection::Result& result) {
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -67,6 +67,8 @@
         stream_by_ = stream_by;
     }
     void stream_to(Steady::time_point stream_by) { stream_by_ = stream_by; }
+    /// All answers are held whole, up to `body_most` bytes: what is longer is Garbage.
+    void hold_whole(std::uint64_t body_most) { whole_most_ = body_most; }
     void when_streamed(Streamed streamed) { streamed_ = std::move(streamed); }
 
     /// Ends it at once. True if a request had been written whole.
@@ -133,7 +135,7 @@
     Done done_;
     Streamed streamed_;
     bool may_stream_ = false;
-    std::uint64_t body_most_ = 0;
+    std::uint64_t body_most_ = 0, whole_most_ = 0;
     std::shared_ptr<BodyStream> stream_;  // the rest of an answer that has been told
     TimePoint opened_at_{};
     Steady::time_point began_at_{};       // when the answer's first byte came
