Split the run of the clients' endings by concern

The peers that make the order of events go to endings_run.h, the rows to endings_leaving, endings_bodies, endings_stopping and endings_sockets.cpp, one program as before. Rows are unchanged; end_of_a_stuck_upload and readiness have moved to other parts.

--- /dev/null
+++ b/tests/endings_bodies.cpp
@@ -0,0 +1,145 @@
+// Bodies that a client spoils, stops sending or does not read, and the wait for its close behind an answer.
+#include "endings_run.h"
+
+namespace ochrehub::run {
+namespace {
+
+// ---- Bodies that the client spoils or stops sending
+
+void spoilt_upload(World& world, const Node&) {
+    int fd = world.connect();
+    put(fd, "POST /buy?hold&id=" + std::to_string(next_id++) +
+                " HTTP/1.1\r\nHost: n\r\nX-Trace-Id: spoilt\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" +
+                std::string(0x20000, 'p') + "\r\nno length\r\n");
+    std::string behind, head = read_head(fd, behind);
+    assert(head.starts_with("HTTP/1.1 400") && head.find("Connection: close") != std::string::npos);
+    assert(next_byte(fd) == 0);
+    close(fd);
+    row("spoilt_upload", "answered 400, ended in order");
+}
+
+void stopped_upload(World& world, const Node&) {
+    int fd = world.connect();
+    put(fd, "POST /buy?hold&id=" + std::to_string(next_id++) +
+                " HTTP/1.1\r\nHost: n\r\nX-Trace-Id: stopped\r\nContent-Length: 300000\r\n\r\n" +
+                std::string(100000, 'p'));
+    std::string behind, head = read_head(fd, behind);
+    assert(head.starts_with("HTTP/1.1 408"));
+    close(fd);
+    row("stopped_upload", "answered 408");
+}
+
+// ---- Lingering
+
+/// A request that crosses the end of a connection that stood idle for too long goes nowhere, and resets nothing.
+void idle_ends_in_order(World& world, const Node&) {
+    int fd = world.connect();
+    assert(ask(fd, get(next_id++)).starts_with("HTTP/1.1 200"));
+    assert(next_byte(fd) == 0);
+    long id = next_id++;
+    put(fd, get(id));
+    assert(next_byte(fd) == 0 && !was_reset(fd));
+    close(fd);
+    world.settle();
+    assert(!world.servers.begun(id));
+    row("idle_ends_in_order", "a request behind the end was not sent on, and nothing reset");
+}
+
+/// It hears that its connection ends, and sends on for ever.
+void sends_for_ever(World& world, const Node&) {
+    int fd = world.connect();
+    put(fd, "GET /healthz HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n");
+    std::string behind;
+    assert(read_head(fd, behind).starts_with("HTTP/1.1 200"));
+    Steady::time_point began = Steady::now();
+    const std::string junk(4096, 'j');
+    while (send(fd, junk.data(), junk.size(), MSG_NOSIGNAL) > 0) {
+    }
+    std::printf("%-28s reset after %.0f ms\n", "sends_for_ever", ms_since(began));
+    assert(ms_since(began) >= 900 && ms_since(began) < 3000);
+    close(fd);
+}
+
+/// It sends on, too, but has not got all of its answer yet.
+void sends_on_before_it_reads(World& world, const Node&) {
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), small = 2048;
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+    assert(connect(fd, reinterpret_cast<const sockaddr*>(&world.clients.at), sizeof world.clients.at) == 0);
+    long id = next_id++;
+    std::string request = get(id, "big");
+    put(fd, request.substr(0, request.size() - 2) + "Connection: close\r\n\r\n");
+    world.servers.until_begun(id);
+    Steady::time_point began = Steady::now();
+    for (; ms_since(began) < 1500; usleep(10000)) put(fd, "x");
+    std::string behind, head = read_head(fd, behind);
+    assert(head.starts_with("HTTP/1.1 200") && read_body(fd, behind, length_of(head)));
+    close(fd);
+    row("sends_on_before_it_reads", "its answer came whole after 1.5 s");
+}
+
+// ---- Floods
+
+/// Clients that send much at once and go.
+void flood_and_go(World& world, const Node& node) {
+    for (int round = 0; round < 3; ++round) {
+        std::vector<int> flood;
+        for (int i = 0; i < 40; ++i) {
+            int fd = world.connect();
+            flood.push_back(fd);
+            std::string all;
+            for (int k = 0; k < 1000; ++k) all += get(next_id++);
+            ssize_t sent = send(fd, all.data(), all.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+            assert(sent > 0);
+        }
+        for (std::size_t i = 0; i < flood.size(); ++i) leave(flood[i], kLeaves[i % 3]);
+        for (int& fd : flood) end(fd);
+    }
+    world.until_idle(node);
+    world.settle();
+    std::printf("%-28s 120 left, nothing of them open, others served; most memory %.1f MB\n", "flood_and_go",
+                node.peak_mb());
+}
+
+/// Clients that never read their answer.
+void never_reads(World& world, const Node& node) {
+    std::vector<int> deaf;
+    std::vector<Far> far;
+    for (int i = 0; i < 5; ++i) {
+        int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), small = 2048;
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+        assert(connect(fd, reinterpret_cast<const sockaddr*>(&world.clients.at), sizeof world.clients.at) == 0);
+        far.emplace_back(fd);
+        deaf.push_back(fd);
+        put(fd, "GET /healthz HTTP/1.1\r\nHost: n\r\n\r\n");
+    }
+    const std::string many = [] {
+        std::string all;
+        for (int k = 0; k < 20000; ++k) all += "GET /healthz HTTP/1.1\r\nHost: n\r\n\r\n";
+        return all;
+    }();
+    for (int fd : deaf)  // more answers than the two systems hold
+        while (send(fd, many.data(), many.size(), MSG_NOSIGNAL | MSG_DONTWAIT) > 0) {
+        }
+    // From the node's last read of a client on: a slow node reads for long before it is stuck.
+    double took = 0;
+    for (const Far& side : far) took = std::max(took, side.until_left_unread());
+    world.settle();
+    world.until_idle(node);
+    std::printf("%-28s 5 of 5 ended after %.0f ms, others served\n", "never_reads", took);
+    for (int fd : deaf) close(fd);
+    assert(took < 15000);
+}
+
+}  // namespace
+
+std::vector<Part> bodies() {
+    return {{{"spoilt_upload", spoilt_upload, {}},
+             {"stopped_upload", stopped_upload, {}},
+             {"sends_for_ever", sends_for_ever, {}},
+             {"sends_on_before_it_reads", sends_on_before_it_reads, {}},
+             {"idle_ends_in_order", idle_ends_in_order, {}},
+             {"flood_and_go", flood_and_go, {}}},
+            {{"never_reads", never_reads, {}}}};
+}
+
+}  // namespace ochrehub::run
--- /dev/null
+++ b/tests/endings_sockets.cpp
@@ -0,0 +1,128 @@
+// Clients' sockets: when a node is ready for them, what is set on them, and what happens where they run short.
+#include "endings_run.h"
+
+#include <sys/syscall.h>
+
+namespace ochrehub::run {
+namespace {
+
+/// Readiness waits for a list with a server that is ready.
+void readiness_needs_a_ready_server(const char* program, const char* config) {
+    World world;
+    Setup setup = world.setup(config, {}, false);
+    Node node;
+    node.start(program, -1);
+    int watch = accept4(world.discovery.fd, nullptr, nullptr, SOCK_CLOEXEC);
+    auto tell = [&](int revision, const char* phase) {
+        std::string behind;
+        assert(read_head(watch, behind).starts_with("GET /v1/servers"));
+        std::string list = "{\"revision\":" + std::to_string(revision) + ",\"complete\":true,\"members\":[" +
+                           World::member("s-a", world.a, phase) + "]}";
+        put(watch, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list);
+    };
+    tell(42, "terminating");
+    std::string behind;
+    assert(read_head(watch, behind).starts_with("GET /v1/servers"));  // it has taken that list in
+    int fd = world.connect();
+    assert(ask(fd, "GET /healthz HTTP/1.1\r\nHost: n\r\n\r\n").starts_with("HTTP/1.1 503"));
+    assert(node.call("GET /ops/readiness").starts_with("HTTP/1.1 503"));
+    std::string list = "{\"revision\":43,\"complete\":true,\"members\":[" + World::member("s-a", world.a) + "]}";
+    put(watch, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list);
+    node.until_ready();
+    tell(44, "terminating");
+    assert(read_head(watch, behind = "").starts_with("GET /v1/servers"));
+    assert(ask(fd, "GET /healthz HTTP/1.1\r\nHost: n\r\n\r\n").starts_with("HTTP/1.1 200"));  // once it is, it stays
+    close(fd), close(watch);
+    node.stop();
+    row("readiness", "not with a server that drains, with one that is ready, and from then on");
+}
+
+/// Every connection that the node has accepted sends at once, one too that came before the node was there.
+void no_delay(const char* program, const char* config) {
+    World world;
+    Listener clients;
+    world.clients = clients;
+    Setup setup = world.setup(config);
+    setenv("GW_FD", "7", 1);
+    int early = connected(clients.at);
+    Node node;
+    node.start(program, clients.fd);
+    node.until_ready();
+    int late = connected(clients.at), control = connected(node.control);
+    for (int fd : {early, late})
+        assert(ask(fd, "GET /healthz HTTP/1.1\r\nHost: n\r\n\r\n").starts_with("HTTP/1.1 200"));
+    put(control, "GET /ops/readiness HTTP/1.1\r\n");  // half a call: it stays
+    node.call("GET /ops/readiness");                  // accepted behind it
+    int process = int(syscall(SYS_pidfd_open, node.pid, 0));
+    assert(process >= 0);
+    int seen = 0;
+    for (int fd = 3; fd < 64; ++fd) {
+        int theirs = int(syscall(SYS_pidfd_getfd, process, fd, 0));
+        if (theirs < 0) continue;
+        sockaddr_in at{}, peer{};
+        socklen_t size = sizeof at, peer_size = sizeof peer;
+        bool accepted = getsockname(theirs, reinterpret_cast<sockaddr*>(&at), &size) == 0 &&
+                        getpeername(theirs, reinterpret_cast<sockaddr*>(&peer), &peer_size) == 0 &&
+                        at.sin_family == AF_INET &&
+                        (at.sin_port == clients.at.sin_port || at.sin_port == node.control.sin_port);
+        if (accepted) {
+            int on = 0;
+            socklen_t on_size = sizeof on;
+            assert(getsockopt(theirs, IPPROTO_TCP, TCP_NODELAY, &on, &on_size) == 0);
+            assert(on != 0);
+            ++seen;
+        }
+        close(theirs);
+    }
+    std::printf("%-28s %d of %d accepted connections\n", "no_delay", seen, seen);
+    assert(seen >= 3);
+    for (int fd : {early, late, control}) close(fd);
+    close(process);
+    unsetenv("GW_FD");
+    node.stop();
+    close(clients.fd);
+}
+
+/// Idle clients hold all descriptors that they may while discovery is down: who asks is served, and discovery is reached
+/// once it is back.
+void few_descriptors(const char* program, const char* config) {
+    World world;
+    close(world.discovery.fd);
+    Setup setup = world.setup(config, {{"\"sockets\":1024", "\"sockets\":64"}});
+    Node node;
+    node.start(program, -1);
+    node.until_ready();
+    std::vector<int> crowd;
+    for (int i = 0; i < 80; ++i) {
+        crowd.push_back(world.connect());
+        if (i % 4 == 0) (void)ask(crowd.back(), get(next_id++));
+    }
+    for (int i = 0; i < 20; ++i) {
+        int fd = world.connect();
+        assert(ask(fd, get(next_id++)).starts_with("HTTP/1.1 200"));
+        close(fd);
+    }
+    Steady::time_point began = Steady::now();
+    int back = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), on = 1;
+    setsockopt(back, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    assert(bind(back, reinterpret_cast<sockaddr*>(&world.discovery.at), sizeof world.discovery.at) == 0);
+    assert(listen(back, 8) == 0);
+    int watch = accept4(back, nullptr, nullptr, SOCK_CLOEXEC);
+    std::string behind;
+    assert(read_head(watch, behind).starts_with("GET /v1/servers"));
+    std::printf("%-28s 20 of 20 served beside 80 idle, discovery reached %.0f ms after it was back\n",
+                "few_descriptors", ms_since(began));
+    for (int fd : crowd) close(fd);
+    close(watch), close(back);
+    node.stop();
+}
+
+}  // namespace
+
+std::vector<Part> sockets() {
+    return {{{"readiness", {}, readiness_needs_a_ready_server},
+             {"no_delay", {}, no_delay},
+             {"few_descriptors", {}, few_descriptors}}};
+}
+
+}  // namespace ochrehub::run
