Answer half a request that makes way, and accept as soon as one can

Where descriptors ran short, half a first request was closed without an answer. Now it makes way only with nothing unread, and is told 503 with `Connection: close` in the same call, without a buffer. A connection that waits for its client's close is read once before it makes way, so that a request behind its end resets nothing.

Found beside it: once nobody could make way, a further connection was accepted only behind some connection's end. Those that came with bytes unread, and rested or stood half sent a moment later, held it up for seconds.

half_requests_make_way and full_till_one_can_go fail without the change: closed unanswered, and accepted only behind a 408. lingering_makes_way is a row that had no test; it passes without the change too.

--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -61,7 +61,7 @@
     socket_.async_wait(asio::ip::tcp::socket::wait_read,
                        [self = shared_from_this(), watch = ++watch_](error_code error) {
                            if (self->state_ != State::Reading || watch != self->watch_) return;
-                           if (error) return self->close();
+                           if (error) return self->end();
                            if (self->front_.behind()) return self->front_.read_later(self);
                            self->read();
                        });
@@ -94,7 +94,7 @@
         if (!unread_) unread_ = front_.pool().take();
         Received got = receive(socket_, unread_.free_space(), unread_.room());
         if (got.error == asio::error::would_block) break;
-        if (got.error || !still_there(got.age)) return close();
+        if (got.error || !still_there(got.age)) return end();
         if (!begun_) {
             begun_ = true;
             // Only the first byte sets the time, and of the first request not even that: whoever sends byte by
@@ -163,7 +163,7 @@
         if (!unread_) unread_ = front_.pool().take();
         Received got = receive(socket_, unread_.free_space(), unread_.room());
         if (got.error == asio::error::would_block) break;
-        if (got.error) return close();
+        if (got.error) return end();
         heard_ = Steady::now();
         came_ = front_.engine().now() - got.age;
         unread_.grow(got.bytes);
@@ -173,7 +173,7 @@
     socket_.async_wait(asio::ip::tcp::socket::wait_read,
                        [self = shared_from_this(), watch = ++watch_](error_code error) {
                            if (watch != self->watch_ || self->state_ != State::Waiting) return;
-                           error ? self->close() : self->read_upload();
+                           error ? self->end() : self->read_upload();
                        });
 }
 
@@ -271,7 +271,7 @@
     if (state_ != State::Waiting || !http::gone(socket_.native_handle())) return false;
     // Later: whoever asks is in the midst of what a close would call off.
     asio::post(front_.io(), [self = shared_from_this(), request = request_] {
-        if (self->state_ == State::Waiting && self->request_ == request) self->close();
+        if (self->state_ == State::Waiting && self->request_ == request) self->end();
     });
     return true;
 }
@@ -308,7 +308,7 @@
             unread.grow(got.bytes);
             self->heard_ = Steady::now();
             if (got.bytes > 0) self->came_ = self->front_.engine().now() - got.age;
-            if (error && error != asio::error::would_block) return self->close();
+            if (error && error != asio::error::would_block) return self->end();
             if (unread.view().empty()) unread.release();
             self->watch_client();
         });
@@ -400,11 +400,11 @@
 void ClientSession::write() {
     Outgoing::State state = outgoing_.write_to(socket_);
     if (outgoing_.moved()) since_ = Steady::now();
-    if (state == Outgoing::State::Failed) return close();
+    if (state == Outgoing::State::Failed) return end();
     if (state == Outgoing::State::Whole) return write_rest() ? next() : void();
     socket_.async_wait(asio::ip::tcp::socket::wait_write, [self = shared_from_this()](error_code failed) {
         if (self->state_ != State::Writing) return;
-        failed ? self->close() : self->write();
+        failed ? self->end() : self->write();
     });
 }
 
@@ -419,7 +419,7 @@
         case Outgoing::Next::Broken: {  // a client that cannot see it from a length must see it from a reset
             error_code ignored;
             if (http_1_0_) socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-            close();
+            end();
             return false;
         }
         case Outgoing::Next::Wait:
@@ -441,7 +441,7 @@
 void ClientSession::watch_reader() {
     socket_.async_wait(asio::ip::tcp::socket::wait_error,
                        [self = shared_from_this(), watch = ++watch_](error_code error) {
-                           if (watch == self->watch_ && self->state_ == State::Writing && !error) self->close();
+                           if (watch == self->watch_ && self->state_ == State::Writing && !error) self->end();
                        });
 }
 
@@ -482,13 +482,20 @@
     }
     socket_.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
         if (self->state_ != State::Lingering) return;
-        static std::array<char, BufferPool::kSize> dropped;
         // Once a turn, not till nothing is left: a client that never stops would hold the loop.
-        if (!error) self->socket_.read_some(asio::buffer(dropped), error);
-        !error || error == asio::error::would_block ? self->linger() : self->close();
+        if (!error) error = self->drop_unread();
+        !error || error == asio::error::would_block ? self->linger() : self->end();
     });
 }
 
+/// What one read takes.
+error_code ClientSession::drop_unread() {
+    static std::array<char, BufferPool::kSize> dropped;
+    error_code error;
+    socket_.read_some(asio::buffer(dropped), error);
+    return error;
+}
+
 bool ClientSession::unread_in_socket() {
     char byte = 0;
     error_code error;
@@ -498,10 +505,20 @@
 
 bool ClientSession::spare() {
     if (state_ == State::Lingering) return !owes(socket_.native_handle());
-    return state_ == State::Reading && ((begun_ && first_) || (!begun_ && !unread_in_socket()));
+    return state_ == State::Reading && (first_ || !begun_) && !unread_in_socket();
 }
 
+// At once, as its descriptor is needed. What it has sent on meanwhile is read, or the close would reset it.
 void ClientSession::close() {
+    if (state_ == State::Reading && begun_) {
+        close_after_ = true;
+        reject_unread(503, retry_after(front_.door().turn_away(front_.engine().now(), {})));
+    }
+    if (state_ == State::Lingering) drop_unread();
+    end();
+}
+
+void ClientSession::end() {
     if (state_ == State::Closed) return;
     bool owed = state_ == State::Waiting;
     enter(State::Closed);
--- a/src/http/client_session.h
+++ b/src/http/client_session.h
@@ -25,9 +25,10 @@
     /// Also where its end lies behind bytes that nobody has read. It closes then, once its caller is through.
     bool gone() override;
 
-    /// Nothing is lost if it is closed now: between requests with nothing unread, a request not yet whole, or
-    /// only waiting for the client's close.
+    /// Nothing is lost if it is closed now: nothing is unread, and it stands between requests, its first request is not
+    /// yet whole, or it only waits for the client's close.
     bool spare();
+    /// Makes way. Half a request is answered that there is no room.
     void close();
     /// Ends it gracefully if it stands between requests with nothing unread.
     void end_rest();
@@ -72,6 +73,8 @@
     bool write_rest();
     void next();
     void linger();
+    boost::system::error_code drop_unread();
+    void end();
 
     boost::asio::ip::tcp::socket socket_;
     Front& front_;
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -99,7 +99,8 @@
 
 void Front::accept() {
     if (accepting_ || !open_ || !acceptor_.is_open()) return;
-    if (!sessions_.may_accept()) return;  // until one closes
+    full_ = !sessions_.may_accept();
+    if (full_) return;
     accepting_ = true;
     acceptor_.async_wait(asio::socket_base::wait_read, [this](error_code error) {
         accepting_ = false;
@@ -116,6 +117,11 @@
     });
 }
 
+// Not its close alone makes room: each that comes to rest, or grows old, may make way.
+void Front::accept_if_full() {
+    if (full_) accept();
+}
+
 // The kernel hands connections out in their order only. Behind a stall those come first whose clients have given up
 // and are to ask again: nothing is spent on them but their close, or those behind them would grow old as well.
 error_code Front::accept_some() {
@@ -157,6 +163,7 @@
 
 void Front::stands(Table::Place place, Standing from, Standing to) {
     sessions_.stands(place, from, to);
+    if (full_ && to != Standing::Busy) asio::post(io_, [this] { accept_if_full(); });
 }
 
 void Front::closed(Table::Place place, Standing standing) {
@@ -171,6 +178,7 @@
         session->look_after();
     });
     for (const auto& session : late) session->time_out();
+    accept_if_full();
     if (auto change = door_.look(engine_.now())) tell(*change);
     sweep_.expires_after(kSweep);
     sweep_.async_wait([this](error_code stopped) {
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -96,6 +96,7 @@
 
 private:
     void accept();
+    void accept_if_full();
     boost::system::error_code accept_some();
     void take(boost::asio::ip::tcp::socket socket);
     void sweep();
@@ -123,6 +124,7 @@
     bool shared_;        // the listener, with other processes
     bool open_ = false;  // has begun to accept
     bool accepting_ = false;
+    bool full_ = false;  // accepts again once one can make way
     int read_ = 0;        // requests since connections were last accepted
     bool stood_ = false;  // the queue, when the listener was last told
     bool draining_ = false, ending_ = false;
--- a/tests/endings_run.h
+++ b/tests/endings_run.h
@@ -166,7 +166,11 @@
     void until_left() const {
         until([](unsigned state, unsigned long) { return state != TCP_ESTABLISHED; });
     }
-    /// The same, and for how many ms before that the node had read nothing of it, as far as was watched.
+    /// ... and this side's system has all of that.
+    void until_all_here() const {
+        until([](unsigned state, unsigned long) { return state == TCP_FIN_WAIT2 || state == TCP_CLOSE; });
+    }
+    /// As until_left(), and for how many ms before that the node had read nothing of it, as far as was watched.
     double until_left_unread() const {
         unsigned long last = ~0UL;
         Steady::time_point at = Steady::now();
--- a/tests/endings_sockets.cpp
+++ b/tests/endings_sockets.cpp
@@ -117,12 +117,112 @@
     node.stop();
 }
 
+/// With no descriptors left, those make way that have sent half a request: they are told.
+void half_requests_make_way(const char* program, const char* config) {
+    World world;
+    Setup setup = world.setup(config, {{"\"sockets\":1024", "\"sockets\":64"}});  // 13 for clients
+    Node node;
+    node.start(program, -1);
+    node.until_ready();
+    std::vector<int> halves, asking;
+    for (int i = 0; i < 11; ++i) {
+        halves.push_back(world.connect());
+        put(halves.back(), "GET /look HTTP/1.1\r\nX-Tra");
+    }
+    world.settle();
+    usleep(150000);  // they are no longer new, and have 2.5 s
+    for (int i = 0; i < 10; ++i) {
+        asking.push_back(world.connect());
+        assert(ask(asking.back(), get(next_id++)).starts_with("HTTP/1.1 200"));
+    }
+    int told = 0;
+    for (int i = 0; i < 7; ++i) {  // the oldest first; the last ones may have stayed
+        std::string behind, head = read_head(halves[std::size_t(i)], behind);
+        told += head.starts_with("HTTP/1.1 503") && head.find("Connection: close") != std::string::npos &&
+                behind.empty() && next_byte(halves[std::size_t(i)]) == 0;
+    }
+    std::printf("%-28s %d of 7 answered 503 and ended in order, 10 of 10 others served\n", "half_requests_make_way",
+                told);
+    assert(told == 7);
+    for (int fd : halves) close(fd);
+    for (int fd : asking) close(fd);
+    node.stop();
+}
+
+/// ... and before them those that only wait for their client's close, but for one whose client has yet to get its answer.
+void lingering_makes_way(const char* program, const char* config) {
+    World world;
+    Setup setup = world.setup(config, {{"\"sockets\":1024", "\"sockets\":64"}});
+    Node node;
+    node.start(program, -1);
+    node.until_ready();
+    int deaf = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), small = 2048;
+    setsockopt(deaf, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+    assert(connect(deaf, reinterpret_cast<const sockaddr*>(&world.clients.at), sizeof world.clients.at) == 0);
+    std::string request = get(next_id++, "big");
+    put(deaf, request.substr(0, request.size() - 2) + "Connection: close\r\n\r\n");
+    Far(deaf).until_left();
+    std::vector<int> leaving, asking;
+    const std::string last = "GET /healthz HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n";
+    for (int i = 0; i < 11; ++i) {
+        leaving.push_back(world.connect());
+        assert(ask(leaving.back(), last).starts_with("HTTP/1.1 200"));
+    }
+    for (int fd : leaving) Far(fd).until_all_here();
+    for (int i = 0; i < 10; ++i) {
+        asking.push_back(world.connect());
+        assert(ask(asking.back(), get(next_id++)).starts_with("HTTP/1.1 200"));
+    }
+    std::string behind, head = read_head(deaf, behind);
+    assert(head.starts_with("HTTP/1.1 200") && read_body(deaf, behind, length_of(head)));
+    for (int fd : leaving) close(fd);
+    for (int fd : asking) close(fd);
+    close(deaf);
+    node.stop();
+    row("lingering_makes_way", "11 ended behind their answer, 10 of 10 others served, one read late and whole");
+}
+
+/// None could make way when they came, as each had bytes unread. A further one does not wait for the end of any.
+void full_till_one_can_go(const char* program, const char* config) {
+    World world;
+    Setup setup = world.setup(config, {{"\"sockets\":1024", "\"sockets\":64"}});
+    Node node;
+    node.start(program, -1);
+    node.until_ready();
+    halt(node);
+    std::vector<int> halves;
+    for (int i = 0; i < 15; ++i) {  // as many as it takes, those included that are to be told that there is no room
+        halves.push_back(world.connect());
+        put(halves.back(), "GET /look HTTP/1.1\r\nX-Tra");
+    }
+    int fd = world.connect();
+    put(fd, "GET /healthz HTTP/1.1\r\nHost: n\r\n\r\n");
+    go_on(node);
+    std::string behind, head = read_head(fd, behind);
+    assert(head.starts_with("HTTP/1.1 "));
+    int ended = 0;
+    for (int half : halves) {
+        char text[64] = {};
+        if (recv(half, text, sizeof text - 1, MSG_DONTWAIT) <= 0) continue;
+        ++ended;
+        assert(std::string(text).starts_with("HTTP/1.1 503"));  // 408: it had to wait for that
+    }
+    std::printf("%-28s answered %s, for which %d of 15 made way\n", "full_till_one_can_go",
+                head.substr(9, 3).c_str(), ended);
+    for (int half : halves) close(half);
+    close(fd);
+    node.stop();
+}
+
 }  // namespace
 
 std::vector<Part> sockets() {
     return {{{"readiness", {}, readiness_needs_a_ready_server},
              {"no_delay", {}, no_delay},
-             {"few_descriptors", {}, few_descriptors}}};
+             {"few_descriptors", {}, few_descriptors},
+             {"half_requests_make_way", {}, half_requests_make_way},
+             {"lingering_makes_way", {}, lingering_makes_way},
+             {"full_till_one_can_go", {}, full_till_one_can_go}}};
 }
 
 }  // namespace ochrehub::run
