Ignore Expect: 100-continue in a request of HTTP/1.0

A client of HTTP/1.0 knows no interim answers and takes 100 for its answer (RFC 9110, 10.1.1: the expectation must be ignored there). expects_by_1_0 fails without the change.

--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -134,7 +134,7 @@
         }
         if (used == 0) break;
     }
-    if (parser_->is_header_done() && !told_to_continue_ &&
+    if (parser_->is_header_done() && !told_to_continue_ && !parser_->message().http_1_0 &&
         same_name(parser_->message().header("Expect"), "100-continue")) {
         told_to_continue_ = true;
         error_code ignored;
--- a/tests/endings_bodies.cpp
+++ b/tests/endings_bodies.cpp
@@ -18,6 +18,28 @@
     row("spoilt_upload", "answered 400, ended in order");
 }
 
+/// A client of HTTP/1.0 knows no interim answers: its body is waited for, and nothing is said before its answer.
+void expects_by_1_0(World& world, const Node&) {
+    for (const char* version : {"1.0", "1.1"}) {
+        int fd = world.connect();
+        Far far(fd);
+        put(fd, "POST /buy?id=" + std::to_string(next_id) + " HTTP/" + version + "\r\nHost: n\r\nX-Trace-Id: " +
+                    std::to_string(next_id) + "\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n");
+        ++next_id;
+        far.until_read();
+        world.settle();  // whatever it says to that it has said
+        put(fd, "abc");
+        std::string behind, head = read_head(fd, behind);
+        if (version == std::string("1.1")) {
+            assert(head.starts_with("HTTP/1.1 100"));
+            head = read_head(fd, behind);
+        }
+        assert(head.starts_with("HTTP/1.1 200"));
+        close(fd);
+    }
+    row("expects_by_1_0", "100 to HTTP/1.1 alone");
+}
+
 void stopped_upload(World& world, const Node&) {
     int fd = world.connect();
     put(fd, "POST /buy?hold&id=" + std::to_string(next_id++) +
@@ -174,6 +196,7 @@
 
 std::vector<Part> bodies() {
     return {{{"spoilt_upload", spoilt_upload, {}},
+             {"expects_by_1_0", expects_by_1_0, {}},
              {"stopped_upload", stopped_upload, {}},
              {"sends_for_ever", sends_for_ever, {}},
              {"sends_on_before_it_reads", sends_on_before_it_reads, {}},
