End a stopping node over answers nobody reads, not over requests it owes

An answer that its client did not read, and an upload that was not whole, held a stopping node till SIGKILL. Clients that read are waited for.

Where the listener was handed down, the node ended at that time over open requests and answers being written: lost, although SIGKILL comes 0.2 s later at the soonest. Now it ends there by the same rule as elsewhere, but without the first 0.7 s.

drain_of_unread (the node never ended; killed after 60 s) and drain_handed_down_owes (its server saw the connection end, the client had no answer) fail without the change.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -370,10 +370,12 @@
         bool late = since >= stop_most;
         if (since >= kRestEnds) front->end_resting();
         if (late) front->end_half_sent();
-        // Whoever took over has the listener: what stays is connections, which their clients may use once
-        // more. Else those are waited for, too, whose clients have yet to close, as long as there is time.
-        bool over = config.inherited ? (answered && front->empty()) || late
-                                     : waited && answered && (late || front->empty()) && front->quiet();
+        if (std::size_t unread = late ? front->end_unread() : 0)
+            log(LogLevel::Warn, "stopping: answers that their clients did not read end unfinished",
+                {{"answers", unread}});
+        // Where the listener was handed down, whoever took over has it, and this process is over with its last client.
+        // Clients that have yet to close are waited for as long as there is time; an answer that is owed, for longer.
+        bool over = (waited || config.inherited) && answered && (late || front->empty()) && front->quiet();
         if (over) return io.stop();
         look.expires_after(kDrainLook);
         look.async_wait([&](boost::system::error_code) { end_when_quiet(); });
--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -21,6 +21,7 @@
 constexpr std::chrono::seconds kLingerMost{1};
 constexpr std::chrono::seconds kUploadLingerMost{10};  // a long body goes on coming while its client hears of the answer
 constexpr std::chrono::milliseconds kPieceMost{2500};  // between two pieces of a long body
+constexpr std::chrono::milliseconds kUnreadMost{500};  // a client that takes nothing for so long, while the node stops
 constexpr std::chrono::milliseconds kFirstMost{100};   // a new connection's request may still be on its way
 constexpr double kSlowest = 32;                        // bytes a millisecond of a short one, once its head is there
 std::string retry_after(Duration back) {
@@ -512,6 +513,12 @@
     return unacknowledged(socket_.native_handle()) > 0;
 }
 
+bool ClientSession::end_unread() {
+    if (state_ != State::Writing || !(blocked_ || owes()) || taken_.stood() < kUnreadMost) return false;
+    end();
+    return true;
+}
+
 bool ClientSession::unread_in_socket() {
     char byte = 0;
     error_code error;
@@ -569,6 +576,11 @@
 }
 
 void ClientSession::end_half_sent() {
+    if (state_ == State::Waiting && upload_ && (upload_full_ || !unread_in_socket())) {
+        call_off();
+        close_after_ = true;
+        return reject(408);
+    }
     if (!half_sent()) return;
     close_after_ = true;
     reject_unread(408);
--- a/src/http/client_session.h
+++ b/src/http/client_session.h
@@ -38,6 +38,8 @@
     Steady::duration stood() const { return Steady::now() - since_; }
     /// Its request is decided on, and nothing tells of its client's close: looks for it.
     void look_after();
+    /// Closes it where its client does not read its answer. True if it did.
+    bool end_unread();
     /// It has stood for longer than it may.
     bool late() const;
     void time_out();
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -92,6 +92,13 @@
     for (const auto& session : all) session->end_half_sent();
 }
 
+std::size_t Front::end_unread() {
+    std::vector<std::shared_ptr<ClientSession>> busy(sessions_.standing(Standing::Busy).begin(),
+                                                     sessions_.standing(Standing::Busy).end());
+    return std::size_t(
+        std::count_if(busy.begin(), busy.end(), [](const auto& session) { return session->end_unread(); }));
+}
+
 void Front::keep_to(DescriptorBudget budget) {
     sessions_.keep_to(budget);
     accept();
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -48,6 +48,8 @@
     void end_resting();
     /// Answers what is only half there: its time is over.
     void end_half_sent();
+    /// Closes connections whose clients do not read their answers, and says how many those were.
+    std::size_t end_unread();
     /// A request that came now would be served, as far as servers are.
     bool serves() const { return open_ && !draining_ && engine_.has_servers(); }
     bool ending() const { return ending_; }
--- a/tests/endings_stopping.cpp
+++ b/tests/endings_stopping.cpp
@@ -173,6 +173,32 @@
     close(clients.fd);
 }
 
+/// ... and the last one is answered, however long that takes: it is over with no request that it has taken.
+void drain_handed_down_owes(const char* program, const char* config) {
+    World world;
+    Listener clients;
+    world.clients = clients;
+    Setup setup = world.setup(config);  // 60 s of time: it may be over 3.5 s behind the signal
+    setenv("GW_FD", "7", 1);
+    Node node;
+    node.start(program, clients.fd);
+    node.until_ready();
+    int fd = world.connect();
+    long id = next_id++;
+    put(fd, get(id, "hold"));
+    world.servers.until_begun(id);
+    Stopping stopping(node);
+    while (ms_since(stopping.at) < 3900) usleep(1000);
+    world.servers.release(id);
+    std::string behind, head = read_head(fd, behind);
+    close(fd);
+    double took = stopping.until_over(node);
+    std::printf("%-28s answered %s; over at %.0f ms\n", "drain_handed_down_owes", head.substr(0, 12).c_str(), took);
+    assert(head.starts_with("HTTP/1.1 200"));
+    unsetenv("GW_FD");
+    close(clients.fd);
+}
+
 /// What was read behind the request in hand has its turn before the connection ends.
 void drain_meets_pipelined(const char* program, const char* config) {
     World world;
@@ -226,6 +252,57 @@
     assert(told >= 1300 && took < 1500 + 700);
 }
 
+/// One does not read its answer, one has sent half a body: neither holds the node for longer than the deadline and 0.5 s,
+/// and its log says so. One that reads has all of its own.
+void drain_of_unread(const char* program, const char* config) {
+    World world;
+    Setup setup = world.setup(config, {{"\"GiveUp\":60000.0", "\"GiveUp\":800.0"}});
+    std::string log = setup.folder + "/log";
+    int errors = dup(2), file = open(log.c_str(), O_CREAT | O_WRONLY | O_CLOEXEC, 0600);
+    dup2(file, 2);
+    Node node;
+    node.start(program, -1);
+    dup2(errors, 2), close(errors), close(file);
+    node.until_ready();
+    int deaf = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), small = 2048;
+    setsockopt(deaf, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+    assert(connect(deaf, reinterpret_cast<const sockaddr*>(&world.clients.at), sizeof world.clients.at) == 0);
+    int reader = world.connect(), half = world.connect();
+    long id = next_id++, other = next_id++;
+    put(half, "POST /buy?hold&id=" + std::to_string(other) +
+                  " HTTP/1.1\r\nHost: n\r\nX-Trace-Id: half\r\nContent-Length: 300000\r\n\r\n" +
+                  std::string(100000, 'p'));
+    world.servers.until_begun(other);
+    put(reader, get(id, "huge"));
+    std::string behind, head = read_head(reader, behind);
+    put(deaf, get(id = next_id++, "long"));
+    world.servers.until_begun(id);
+    Stopping stopping(node);
+    std::thread slowly([&] {
+        std::vector<char> bytes(20000);
+        std::size_t had = behind.size();
+        for (ssize_t got = 1; had < 2000000 && got > 0; had += std::size_t(std::max<ssize_t>(got, 0)), usleep(10000))
+            got = read(reader, bytes.data(), bytes.size());
+        assert(had == 2000000);
+        close(reader);
+    });
+    std::thread sender([&] {  // goes on, so that only the node's stop ends it
+        pollfd heard{half, POLLIN, 0};
+        while (poll(&heard, 1, 100) == 0) put(half, "p");
+        std::string rest;
+        assert(read_head(half, rest).starts_with("HTTP/1.1 408"));
+        close(half);
+    });
+    double took = stopping.until_over(node);
+    slowly.join(), sender.join();
+    std::ifstream said(log);
+    std::string all{std::istreambuf_iterator<char>(said), {}};
+    std::printf("%-28s over at %.0f ms\n", "drain_of_unread", took);
+    assert(took >= 1300 && took < 4000);
+    assert(all.find("their clients did not read") != std::string::npos && all.find("answers=1") != std::string::npos);
+    close(deaf);
+}
+
 /// No list yet: what waits is answered by its deadline, and the node ends.
 void drain_before_the_list(const char* program, const char* config) {
     World world;
@@ -254,6 +331,8 @@
              {"drain_under_senders", {}, drain_under_senders},
              {"drain_meets_a_connection", {}, drain_meets_a_connection},
              {"drain_meets_pipelined", {}, drain_meets_pipelined}},
+            {{"drain_of_unread", {}, drain_of_unread}},
+            {{"drain_handed_down_owes", {}, drain_handed_down_owes}},
             {{"drain_handed_down", {}, drain_handed_down},
              {"drain_of_half_heads", {}, drain_of_half_heads},
              {"drain_before_the_list", {}, drain_before_the_list}}};
