Test the clients' endings that had no test, and bring their rows up to date

Rows for: a client's end while its server's connection comes up, clients gone before they are accepted, 413 in an upload's chunk, no buffer for a further request, what a stop drops behind 0.45 s, a request between two attempts at SIGTERM, a client that takes nothing behind its connection's end, one that takes a little now and then.

--- a/tests/endings_bodies.cpp
+++ b/tests/endings_bodies.cpp
@@ -18,6 +18,19 @@
     row("spoilt_upload", "answered 400, ended in order");
 }
 
+/// A chunk that makes it longer than a body may be.
+void long_upload(World& world, const Node&) {
+    int fd = world.connect();
+    std::string id = std::to_string(next_id++);
+    put(fd, "POST /buy?hold&id=" + id + " HTTP/1.1\r\nHost: n\r\nX-Trace-Id: " + id +
+                "\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" + std::string(0x20000, 'p') + "\r\n4000000\r\n");
+    std::string behind, head = read_head(fd, behind);
+    assert(head.starts_with("HTTP/1.1 413") && head.find("Connection: close") != std::string::npos);
+    assert(next_byte(fd) == 0);
+    close(fd);
+    row("long_upload", "answered 413, ended in order");
+}
+
 /// A client of HTTP/1.0 knows no interim answers: its body is waited for, and nothing is said before its answer.
 void expects_by_1_0(World& world, const Node&) {
     for (const char* version : {"1.0", "1.1"}) {
@@ -178,6 +191,25 @@
     close(fd);
 }
 
+/// Of a long answer it takes a little now and then.
+void takes_little(World& world, const Node&) {
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), small = 2048;
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+    assert(connect(fd, reinterpret_cast<const sockaddr*>(&world.clients.at), sizeof world.clients.at) == 0);
+    long id = next_id++;
+    put(fd, get(id, "long"));
+    world.servers.until_begun(id);
+    Steady::time_point began = Steady::now();
+    char bytes[16];
+    // 160 bytes a second, till what it sends is answered by a reset: the node has closed.
+    for (; ms_since(began) < 40000 && send(fd, "x", 1, MSG_NOSIGNAL) > 0; usleep(100000))
+        if (recv(fd, bytes, sizeof bytes, MSG_DONTWAIT) == 0) break;
+    double took = ms_since(began);
+    std::printf("%-28s ended after %.0f ms\n", "takes_little", took);
+    assert(took > 9000 && took < 30000);
+    close(fd);
+}
+
 /// An upload that goes on by a byte now and then.
 void sends_little(World& world, const Node&) {
     int fd = world.connect();
@@ -194,6 +226,23 @@
     close(fd);
 }
 
+/// It takes nothing of an answer that ends its connection, and sends on: the wait for its close has an end.
+void takes_nothing_of_the_last(World& world, const Node&) {
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), small = 2048;
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+    assert(connect(fd, reinterpret_cast<const sockaddr*>(&world.clients.at), sizeof world.clients.at) == 0);
+    long id = next_id++;
+    std::string request = get(id, "big");
+    put(fd, request.substr(0, request.size() - 2) + "Connection: close\r\n\r\n");
+    world.servers.until_begun(id);
+    Steady::time_point began = Steady::now();
+    while (ms_since(began) < 40000 && send(fd, "x", 1, MSG_NOSIGNAL) > 0) usleep(100000);
+    double took = ms_since(began);
+    std::printf("%-28s reset after %.0f ms\n", "takes_nothing_of_the_last", took);
+    assert(took > 9000 && took < 30000);
+    close(fd);
+}
+
 // ---- Floods
 
 /// Clients that send much at once and go.
@@ -255,6 +304,7 @@
 
 std::vector<Part> bodies() {
     return {{{"spoilt_upload", spoilt_upload, {}},
+             {"long_upload", long_upload, {}},
              {"expects_by_1_0", expects_by_1_0, {}},
              {"stopped_upload", stopped_upload, {}},
              {"sends_for_ever", sends_for_ever, {}},
@@ -264,7 +314,9 @@
             {{"head_whole_at_its_time", head_whole_at_its_time, {}}},
             {{"reads_slowly", reads_slowly, {}}},
             {{"reads_slowly_to_the_end", reads_slowly_to_the_end, {}}},
+            {{"takes_little", takes_little, {}}},
             {{"sends_little", sends_little, {}}},
+            {{"takes_nothing_of_the_last", takes_nothing_of_the_last, {}}},
             {{"never_reads", never_reads, {}}}};
 }
 
--- a/tests/endings_leaving.cpp
+++ b/tests/endings_leaving.cpp
@@ -237,6 +237,65 @@
     node.stop();
 }
 
+/// It leaves in the moment in which the connection to its server comes up.
+void end_while_connecting(const char* program, const char* config) {
+    World world;
+    Listener slow;
+    assert(listen(slow.fd, 0) == 0);  // one more waits to be accepted, and others are not answered
+    Setup setup = world.setup(config, {{"$a", slow.address}}, false);
+    Node node;
+    node.start(program, -1);
+    int watch = accept4(world.discovery.fd, nullptr, nullptr, SOCK_CLOEXEC);
+    std::string behind;
+    assert(read_head(watch, behind).starts_with("GET /v1/servers"));
+    std::string list = "{\"revision\":42,\"complete\":true,\"members\":[" + World::member("s-a", slow) + "]}";
+    put(watch, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list);
+    node.until_ready();
+    std::vector<int> open;
+    for (Leave how : kLeaves) {
+        int filler = connected(slow.at), fd = world.connect();
+        put(fd, "GET /look?leaves HTTP/1.1\r\nHost: n\r\nX-Trace-Id: " + std::to_string(next_id++) + "\r\n\r\n");
+        while (node.figure("app_current") != 1) usleep(1000);
+        Far far(fd);
+        halt(node);
+        leave(fd, how);
+        far.until_ended();
+        close(accept4(slow.fd, nullptr, nullptr, SOCK_CLOEXEC));
+        int server = accept4(slow.fd, nullptr, nullptr, SOCK_CLOEXEC);  // the node's system asks again, halted or not
+        go_on(node);
+        world.until_idle(node);
+        pollfd said{server, POLLIN, 0};
+        char byte = 0;
+        assert(poll(&said, 1, 0) == 0 || read(server, &byte, 1) <= 0);
+        // Whether it was kept or not, the next one to speak is one that stays.
+        int stays = world.connect();
+        std::thread others([&] {
+            assert(ask(stays, "GET /look?stays HTTP/1.1\r\nHost: n\r\nX-Trace-Id: " + std::to_string(next_id++) +
+                                  "\r\n\r\n").starts_with("HTTP/1.1 200"));
+        });
+        pollfd first[2] = {{server, POLLIN, 0}, {slow.fd, POLLIN, 0}};
+        std::string heard, head;
+        while (head.empty()) {
+            assert(poll(first, 2, -1) > 0);
+            if (first[0].revents != 0 && (head = read_head(server, heard)).empty()) first[0].fd = -1;
+            if (head.empty() && first[1].revents != 0) {
+                open.push_back(server);
+                server = first[0].fd = accept4(slow.fd, nullptr, nullptr, SOCK_CLOEXEC);
+            }
+        }
+        assert(head.starts_with("GET /look?stays"));
+        put(server, kOk);
+        others.join();
+        open.push_back(server);
+        for (int each : open) close(each);
+        open.clear();
+        close(filler), close(stays), end(fd);
+    }
+    close(watch);
+    node.stop();
+    row("end_while_connecting", "3 of 3: the connection came up, and nothing was written");
+}
+
 }  // namespace
 
 std::vector<Part> leaving() {
@@ -247,6 +306,7 @@
              {"end_behind_half_a_request", end_behind_half_a_request, {}},
              {"latest_begin_idle", [](World& w, const Node& n) { latest_begin(w, n, false); }, {}},
              {"latest_begin_busy", [](World& w, const Node& n) { latest_begin(w, n, true); }, {}}},
+            {{"end_while_connecting", {}, end_while_connecting}},
             {{"end_in_the_queue", {}, end_in_the_queue}, {"end_of_a_stuck_upload", {}, end_of_a_stuck_upload}}};
 }
 
--- a/tests/endings_run.h
+++ b/tests/endings_run.h
@@ -33,7 +33,8 @@
 inline const std::string kFull = "HTTP/1.1 503 Service Unavailable\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n";
 
 /// The servers, in one thread: what had come by one look is noted before any of it is answered. The words of a target
-/// say what becomes of it: `hold` waits for release(), `full` is turned away then, `big`, `huge` and `long`
+/// say what becomes of it: `hold` waits for release(), `full` is turned away then, with `first`
+/// only the first attempt is, `big`, `huge` and `long`
 /// have long answers.
 class Servers {
 public:
@@ -99,7 +100,8 @@
                         ++times_[id];
                         on[fd].insert(id);
                         std::string answer = kOk;
-                        if (target.find("full") != std::string::npos) answer = kFull;
+                        bool later = target.find("first") != std::string::npos && times_[id] > 1;
+                        if (target.find("full") != std::string::npos && !later) answer = kFull;
                         if (target.find("big") != std::string::npos)
                             answer = "HTTP/1.1 200 OK\r\nContent-Length: 30000\r\n\r\n" + std::string(30000, 'b');
                         if (target.find("huge") != std::string::npos)
--- a/tests/endings_sockets.cpp
+++ b/tests/endings_sockets.cpp
@@ -214,6 +214,75 @@
     node.stop();
 }
 
+/// With no buffer left for a further request, that one is told so, and nobody else.
+void no_buffer(const char* program, const char* config) {
+    World world;
+    Setup setup = world.setup(config, {{"\"memory_mb\":192", "\"memory_mb\":16"}});  // 128 buffers
+    Node node;
+    node.start(program, -1);
+    node.until_ready();
+    int told = 0;
+    for (bool ready = false; !ready;) {  // a machine that is too busy takes away the time that they may stand
+        Steady::time_point began = Steady::now();
+        int good = world.connect();
+        world.settle();
+        assert(ask(good, "GET /healthz HTTP/1.1\r\nHost: n\r\n\r\n").starts_with("HTTP/1.1 200"));
+        std::vector<pollfd> halves;
+        for (int i = 0; i < 140; ++i) {
+            halves.push_back({world.connect(), POLLIN, 0});
+            put(halves.back().fd, "GET /look HTTP/1.1\r\nX-Tra");
+        }
+        assert(poll(halves.data(), halves.size(), -1) > 0);  // one of them is told
+        put(good, get(next_id++));
+        std::string behind, head = read_head(good, behind);
+        int next = head.empty() ? -1 : next_byte(good);
+        ready = ms_since(began) < 1500;
+        if (ready) assert(head.starts_with("HTTP/1.1 503") && next == 0);
+        told = 0;
+        for (const pollfd& half : halves) {
+            std::string text(12, ' ');
+            bool heard = (half.revents & POLLIN) != 0 && recv(half.fd, text.data(), text.size(), MSG_WAITALL) == 12;
+            if (heard && ready) assert(text == "HTTP/1.1 503");
+            told += heard;
+            close(half.fd);
+        }
+        close(good);
+    }
+    world.settle();
+    std::printf("%-28s %d of 140 and one that had asked before told 503, others served when they had left\n",
+                "no_buffer", told);
+    assert(told > 0);
+    node.stop();
+}
+
+/// They leave before they are accepted, and the loop is behind.
+void gone_before_accepted(World& world, const Node& node) {
+    std::vector<long> ids;
+    halt(node);
+    Steady::time_point began = Steady::now();
+    std::vector<int> stay;
+    for (int i = 0; i < 60; ++i) {
+        int fd = world.connect();
+        ids.push_back(next_id++);
+        put(fd, get(ids.back()));
+        leave(fd, kLeaves[i % 3]);
+        end(fd);
+    }
+    int last = world.connect();
+    long stays = next_id++;
+    put(last, get(stays));
+    while (ms_since(began) < 200) usleep(1000);
+    go_on(node);
+    std::string behind;
+    assert(read_head(last, behind).starts_with("HTTP/1.1 200"));
+    world.until_idle(node);
+    world.settle();
+    for (long id : ids) assert(!world.servers.begun(id));
+    assert(world.servers.begun(stays));
+    close(last);
+    row("gone_before_accepted", "60 of 60 not begun, one that stayed served");
+}
+
 }  // namespace
 
 std::vector<Part> sockets() {
@@ -222,7 +291,9 @@
              {"few_descriptors", {}, few_descriptors},
              {"half_requests_make_way", {}, half_requests_make_way},
              {"lingering_makes_way", {}, lingering_makes_way},
-             {"full_till_one_can_go", {}, full_till_one_can_go}}};
+             {"full_till_one_can_go", {}, full_till_one_can_go},
+             {"no_buffer", {}, no_buffer}},
+            {{"gone_before_accepted", gone_before_accepted, {}}}};
 }
 
 }  // namespace ochrehub::run
--- a/tests/endings_stopping.cpp
+++ b/tests/endings_stopping.cpp
@@ -252,6 +252,56 @@
     assert(told >= 1300 && took < 1500 + 700);
 }
 
+/// SIGTERM comes between a request's attempts: it has its next one.
+void drain_before_a_retry(const char* program, const char* config) {
+    World world;
+    Setup setup = world.setup(config);
+    Node node;
+    node.start(program, -1);
+    node.until_ready();
+    long id = next_id++;
+    int fd = world.connect();
+    put(fd, get(id, "hold,full,first"));
+    world.servers.until_begun(id);
+    halt(node);
+    Stopping stopping(node);
+    world.servers.release(id);
+    go_on(node);
+    std::string behind, head = read_head(fd, behind);
+    assert(head.starts_with("HTTP/1.1 200") && head.find("Connection: close") != std::string::npos);
+    assert(world.servers.times(id) == 2);
+    close(fd);
+    double took = stopping.until_over(node);
+    std::printf("%-28s answered by its second attempt; over at %.0f ms\n", "drain_before_a_retry", took);
+}
+
+/// Behind 0.45 s it is too late for a request that was read behind another: its client can go by the answer's word, and
+/// by an end that is no reset.
+void drain_drops_pipelined(const char* program, const char* config) {
+    World world;
+    Setup setup = world.setup(config);
+    Node node;
+    node.start(program, -1);
+    node.until_ready();
+    int fd = world.connect();
+    long first = next_id++, second = next_id++;
+    put(fd, get(first, "hold") + get(second));
+    world.servers.until_begun(first);
+    Far(fd).until_read();
+    int resting = world.connect();
+    assert(ask(resting, get(next_id++)).starts_with("HTTP/1.1 200"));
+    Stopping stopping(node);
+    assert(next_byte(resting) == 0);  // they are ended from now on
+    world.servers.release(first);
+    std::string behind, head = read_head(fd, behind);
+    assert(head.starts_with("HTTP/1.1 200") && head.find("Connection: close") != std::string::npos);
+    assert(read_body(fd, behind, 2) && behind.empty() && next_byte(fd) == 0 && !was_reset(fd));
+    close(fd), close(resting);
+    double took = stopping.until_over(node);
+    assert(!world.servers.begun(second));
+    std::printf("%-28s told of the end and not sent on; over at %.0f ms\n", "drain_drops_pipelined", took);
+}
+
 /// One does not read its answer, one has sent half a body: neither holds the node for longer than the deadline and 0.5 s,
 /// and its log says so. One that reads has all of its own.
 void drain_of_unread(const char* program, const char* config) {
@@ -331,7 +381,7 @@
              {"drain_under_senders", {}, drain_under_senders},
              {"drain_meets_a_connection", {}, drain_meets_a_connection},
              {"drain_meets_pipelined", {}, drain_meets_pipelined}},
-            {{"drain_of_unread", {}, drain_of_unread}},
+            {{"drain_of_unread", {}, drain_of_unread}, {"drain_drops_pipelined", {}, drain_drops_pipelined}, {"drain_before_a_retry", {}, drain_before_a_retry}},
             {{"drain_handed_down_owes", {}, drain_handed_down_owes}},
             {{"drain_handed_down", {}, drain_handed_down},
              {"drain_of_half_heads", {}, drain_of_half_heads},
