Keep a node's ports in the tests till it binds them

A port was found free, closed, and bound by the node some milliseconds later: one of 15 runs of endings_clients failed with "cannot serve: bind: Address already in use". It is now held, bound but not listening, with SO_REUSEADDR: the node's socket may be bound beside it, one that looks for a free port may not. Probed on loopback: the second bind and its listen succeed, a third without the option is refused.

--- a/tests/endings_run.h
+++ b/tests/endings_run.h
@@ -259,9 +259,8 @@
 }
 
 struct World {
-    Listener clients, a, b, discovery;
+    Listener clients{false}, a, b, discovery;
     Servers servers{{&a, &b}};
-    World() { close(clients.fd); }
 
     static std::string member(const char* id, const Listener& l, const char* phase = "in_service") {
         return std::string("{\"id\":\"") + id + "\",\"host_port\":\"" + l.address +
--- a/tests/node_run.h
+++ b/tests/node_run.h
@@ -34,9 +34,12 @@
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in at = loopback();
     std::string address;
-    Listener() {
+    /// One that does not listen keeps its port for a node, whose socket may be bound beside it as nobody else's may.
+    explicit Listener(bool listens = true) {
         socklen_t size = sizeof at;
-        assert(bind(fd, reinterpret_cast<sockaddr*>(&at), size) == 0 && listen(fd, 512) == 0);
+        int on = 1;
+        if (!listens) setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        assert(bind(fd, reinterpret_cast<sockaddr*>(&at), size) == 0 && (!listens || listen(fd, 512) == 0));
         getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
         address = std::string(inet_ntoa(at.sin_addr)) + ":" + std::to_string(ntohs(at.sin_port));
     }
@@ -130,12 +133,9 @@
 
     /// `listener`: handed down as descriptor 7; -1: none is.
     void start(const std::string& program, int listener) {
-        {
-            Listener free;
-            control = free.at;
-            close(free.fd);
-            setenv("GW_CONTROL", free.address.c_str(), 1);
-        }
+        Listener kept(false);
+        control = kept.at;
+        setenv("GW_CONTROL", kept.address.c_str(), 1);
         pid = fork();
         if (pid != 0) return;
         prctl(PR_SET_PDEATHSIG, SIGKILL);  // a run that fails leaves no node behind, which would hold its runner's pipe
