End the stand-in servers' thread with their world in the clients' endings

It was detached, and went on over the row's servers after they were gone from the stack, woken by the node's end. The thread is now told to end and joined.

--- a/tests/endings_run.h
+++ b/tests/endings_run.h
@@ -3,6 +3,7 @@
 
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/eventfd.h>
 #include <sys/resource.h>
 
 #include <algorithm>
@@ -39,7 +40,12 @@
 class Servers {
 public:
     explicit Servers(std::vector<Listener*> listeners) : listeners_(std::move(listeners)) {
-        std::thread([this] { run(); }).detach();
+        thread_ = std::thread([this] { run(); });
+    }
+    ~Servers() {  // their node has ended: nothing holds the thread up
+        assert(eventfd_write(over_, 1) == 0);
+        thread_.join();
+        close(over_);
     }
     /// When its head was read first; none: it never came.
     bool begun(long id, Steady::time_point* at = nullptr) {
@@ -74,16 +80,16 @@
     void run() {
         std::map<int, std::string> heads;
         std::map<int, std::set<long>> on;
-        std::vector<pollfd> open;
+        std::vector<pollfd> open{{over_, POLLIN, 0}};
         for (Listener* l : listeners_) open.push_back({l->fd, POLLIN, 0});
-        while (poll(open.data(), open.size(), -1) > 0) {
+        while (poll(open.data(), open.size(), -1) > 0 && open.front().revents == 0) {
             std::vector<std::pair<int, std::string>> answers;
             {
                 std::lock_guard hold(mutex_);
                 for (std::size_t i = open.size(); i-- > 0;) {
                     if (open[i].revents == 0) continue;
                     int fd = open[i].fd;
-                    if (i < listeners_.size()) {
+                    if (i <= listeners_.size()) {
                         open.push_back({accept4(fd, nullptr, nullptr, SOCK_CLOEXEC), POLLIN, 0});
                         continue;
                     }
@@ -126,12 +132,14 @@
     }
 
     std::vector<Listener*> listeners_;
+    int over_ = eventfd(0, EFD_CLOEXEC);
     std::mutex mutex_;
     std::condition_variable changed_;
     std::map<long, Steady::time_point> begun_;
     std::map<long, int> times_;
     std::set<long> ended_;
     std::map<long, std::pair<int, std::string>> held_;
+    std::thread thread_;
 };
 
 inline std::atomic<long> next_id{1};
