Play a stopping row anew where the machine was too late for its moment

drain_meets_a_request, drain_meets_a_connection and drain_of_half_heads have to do their part by some ms after SIGTERM. On a machine with a load of 24 on 6 cores, 4 of 7 runs failed in them: the node was halted behind the moment, or had ended. Such a try shows nothing and is now played on another node, and says so; what is judged in a try that was in time is as before.

--- a/tests/endings_run.h
+++ b/tests/endings_run.h
@@ -256,10 +256,17 @@
     if (fd >= 0) close(std::exchange(fd, -1));
 }
 
-inline void halt(const Node& node) {
+/// False: it had ended already.
+inline bool halted(const Node& node) {
     kill(node.pid, SIGSTOP);
     int status = 0;
-    assert(waitpid(node.pid, &status, WUNTRACED) == node.pid && WIFSTOPPED(status));
+    assert(waitpid(node.pid, &status, WUNTRACED) == node.pid);
+    assert(WIFSTOPPED(status) || (WIFEXITED(status) && WEXITSTATUS(status) == 0));
+    return WIFSTOPPED(status);
+}
+
+inline void halt(const Node& node) {
+    assert(halted(node));
 }
 
 inline void go_on(const Node& node) {
@@ -319,6 +326,18 @@
     }
 };
 
+/// A row that has to do its part by some ms after the signal: on a machine that is too busy for that it has shown nothing,
+/// and is played anew on another node. `attempt` is false where it came too late.
+inline void in_time(const std::function<bool()>& attempt) {
+    while (!attempt()) std::printf("(too late on this machine: once more)\n");
+}
+/// Ends a node whose row came too late.
+inline bool too_late(const Node& node) {
+    kill(node.pid, SIGKILL);
+    waitpid(node.pid, nullptr, 0);
+    return false;
+}
+
 struct Row {
     const char* name;
     std::function<void(World&, const Node&)> beside;                 // others' rows, on one node
--- a/tests/endings_stopping.cpp
+++ b/tests/endings_stopping.cpp
@@ -44,7 +44,7 @@
 
 /// A request comes to a resting one in the moment in which it is to be shut: either way its client has an end that it
 /// can go by, and none is half served.
-void drain_meets_a_request(const char* program, const char* config) {
+bool drain_meets_a_request(const char* program, const char* config) {
     World world;
     Setup setup = world.setup(config);
     Node node;
@@ -59,6 +59,7 @@
     Stopping stopping(node);
     while (ms_since(stopping.at) < 300) usleep(1000);
     halt(node);
+    if (ms_since(stopping.at) > 430) return too_late(node);  // resting ones end from 450 ms on
     // All lie there already when the node's time for it comes.
     std::vector<long> ids;
     for (int fd : resting) ids.push_back(next_id++), put(fd, get(ids.back())), Far(fd).until_unread();
@@ -72,6 +73,7 @@
     double answered = ms_since(stopping.at), took = stopping.until_over(node);
     std::printf("%-28s 20 of 20 unread requests answered whole by %.0f ms; over at %.0f ms\n", "drain_meets_a_request",
                 answered, took);
+    return true;
 }
 
 /// Clients go on sending on whatever stays open.
@@ -127,7 +129,7 @@
 }
 
 /// A connection comes, with its request, in the moment in which the process could end.
-void drain_meets_a_connection(const char* program, const char* config) {
+bool drain_meets_a_connection(const char* program, const char* config) {
     World world;
     Setup setup = world.setup(config);
     Node node;
@@ -135,7 +137,7 @@
     node.until_ready();
     Stopping stopping(node);
     while (ms_since(stopping.at) < 600) usleep(1000);
-    halt(node);
+    if (!halted(node)) return false;
     int fd = world.connect();
     put(fd, get(next_id++));
     while (ms_since(stopping.at) < 800) usleep(1000);
@@ -145,6 +147,7 @@
     close(fd);
     double took = stopping.until_over(node);
     std::printf("%-28s answered whole; over at %.0f ms\n", "drain_meets_a_connection", took);
+    return true;
 }
 
 /// Another process has the listener: connections that rest are ended all the same, and this one is over with the last.
@@ -223,7 +226,7 @@
 }
 
 /// One half of a head is finished late, one never; a second SIGTERM and a SIGHUP in between change nothing.
-void drain_of_half_heads(const char* program, const char* config) {
+bool drain_of_half_heads(const char* program, const char* config) {
     World world;
     Setup setup = world.setup(config, {{"\"GiveUp\":60000.0", "\"GiveUp\":800.0"}});
     Node node;
@@ -240,6 +243,7 @@
     kill(node.pid, SIGTERM);
     kill(node.pid, SIGHUP);
     while (ms_since(stopping.at) < 600) usleep(1000);
+    if (ms_since(stopping.at) > 1200) return too_late(node);  // at 1300 ms it is told 408
     put(ends, request.substr(20));
     std::string behind;
     assert(read_head(ends, behind).starts_with("HTTP/1.1 200"));
@@ -250,6 +254,7 @@
     double took = stopping.until_over(node);
     std::printf("%-28s one served, the other told at %.0f ms; over at %.0f ms\n", "drain_of_half_heads", told, took);
     assert(told >= 1300 && took < 1500 + 700);
+    return true;
 }
 
 /// SIGTERM comes between a request's attempts: it has its next one.
@@ -377,14 +382,14 @@
 
 std::vector<Part> stopping() {
     return {{{"drain_of_resting", {}, drain_of_resting},
-             {"drain_meets_a_request", {}, drain_meets_a_request},
+             {"drain_meets_a_request", {}, [](const char* p, const char* c) { in_time([=] { return drain_meets_a_request(p, c); }); }},
              {"drain_under_senders", {}, drain_under_senders},
-             {"drain_meets_a_connection", {}, drain_meets_a_connection},
+             {"drain_meets_a_connection", {}, [](const char* p, const char* c) { in_time([=] { return drain_meets_a_connection(p, c); }); }},
              {"drain_meets_pipelined", {}, drain_meets_pipelined}},
             {{"drain_of_unread", {}, drain_of_unread}, {"drain_drops_pipelined", {}, drain_drops_pipelined}, {"drain_before_a_retry", {}, drain_before_a_retry}},
             {{"drain_handed_down_owes", {}, drain_handed_down_owes}},
             {{"drain_handed_down", {}, drain_handed_down},
-             {"drain_of_half_heads", {}, drain_of_half_heads},
+             {"drain_of_half_heads", {}, [](const char* p, const char* c) { in_time([=] { return drain_of_half_heads(p, c); }); }},
              {"drain_before_the_list", {}, drain_before_the_list}}};
 }
 
