Order two stopping rows by their peers where a slow machine tells them apart

drain_meets_a_request looked into the system's table of sockets once a connection; under load that kept the node halted for over 3 s, behind its own 3.5 s, and one of its requests was told 503. It now asks each socket whether its bytes are acknowledged, and plays anew where the node would go on behind 0.9 s. drain_of_unread could signal before the unread answer had begun: the client now has its head first. drain_meets_a_request says what it was answered where it fails.

--- a/tests/endings_stopping.cpp
+++ b/tests/endings_stopping.cpp
@@ -1,4 +1,7 @@
 // A node that stops while its clients rest, send, or have half sent.
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include "endings_run.h"
 
 namespace ochrehub::run {
@@ -62,11 +65,16 @@
     if (ms_since(stopping.at) > 430) return too_late(node);  // resting ones end from 450 ms on
     // All lie there already when the node's time for it comes.
     std::vector<long> ids;
-    for (int fd : resting) ids.push_back(next_id++), put(fd, get(ids.back())), Far(fd).until_unread();
+    for (int fd : resting) ids.push_back(next_id++), put(fd, get(ids.back()));
+    for (int fd : resting)
+        for (int left = 1; left > 0; usleep(100)) assert(ioctl(fd, SIOCOUTQ, &left) == 0);
+    if (ms_since(stopping.at) > 900) return too_late(node);
     while (ms_since(stopping.at) < 520) usleep(1000);
     go_on(node);
     for (std::size_t i = 0; i < resting.size(); ++i) {
         std::string behind, head = read_head(resting[i], behind);
+        if (!head.starts_with("HTTP/1.1 200") || head.find("Connection: close") == std::string::npos)
+            std::fprintf(stderr, "request %zu, at %.0f ms: \"%s\"\n", i, ms_since(stopping.at), head.c_str());
         assert(head.starts_with("HTTP/1.1 200") && head.find("Connection: close") != std::string::npos);
         close(resting[i]);
     }
@@ -330,9 +338,6 @@
     world.servers.until_begun(other);
     put(reader, get(id, "huge"));
     std::string behind, head = read_head(reader, behind);
-    put(deaf, get(id = next_id++, "long"));
-    world.servers.until_begun(id);
-    Stopping stopping(node);
     std::thread slowly([&] {
         std::vector<char> bytes(20000);
         std::size_t had = behind.size();
@@ -341,6 +346,10 @@
         assert(had == 2000000);
         close(reader);
     });
+    put(deaf, get(next_id++, "long"));
+    std::string unread;
+    assert(read_head(deaf, unread).starts_with("HTTP/1.1 200"));
+    Stopping stopping(node);
     std::thread sender([&] {  // goes on, so that only the node's stop ends it
         pollfd heard{half, POLLIN, 0};
         while (poll(&heard, 1, 100) == 0) put(half, "p");
