--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -17,10 +17,11 @@
 
 namespace {
 
-constexpr std::chrono::seconds kWriteMost{10};  // an answer to a client that does not read
+constexpr std::chrono::seconds kWriteMost{10};  // for the next piece of an answer
 constexpr std::chrono::seconds kLingerMost{1};
 constexpr std::chrono::seconds kUploadLingerMost{10};  // a long body goes on coming while its client hears of the answer
 constexpr std::chrono::milliseconds kPieceMost{2500};  // between two pieces of a long body
+constexpr std::chrono::milliseconds kUnreadMost{500};  // a client that takes nothing for so long, while the node stops
 constexpr std::chrono::milliseconds kFirstMost{100};   // a new connection's request may still be on its way
 constexpr double kSlowest = 32;                        // bytes a millisecond of a short one, once its head is there
 std::string retry_after(Duration back) {
@@ -58,12 +59,13 @@
 }
 
 void ClientSession::wait_to_read() {
-    socket_.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
-        if (self->state_ != State::Reading) return;
-        if (error) return self->close();
-        if (self->front_.behind()) return self->front_.read_later(self);
-        self->read();
-    });
+    socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                       [self = shared_from_this(), watch = ++watch_](error_code error) {
+                           if (self->state_ != State::Reading || watch != self->watch_) return;
+                           if (error) return self->end();
+                           if (self->front_.behind()) return self->front_.read_later(self);
+                           self->read();
+                       });
 }
 
 bool ClientSession::read_now() {
@@ -93,7 +95,7 @@
         if (!unread_) unread_ = front_.pool().take();
         Received got = receive(socket_, unread_.free_space(), unread_.room());
         if (got.error == asio::error::would_block) break;
-        if (got.error || !still_there(got.age)) return close();
+        if (got.error || !still_there(got.age)) return end();
         if (!begun_) {
             begun_ = true;
             // Only the first byte sets the time, and of the first request not even that: whoever sends byte by
@@ -133,7 +135,7 @@
         }
         if (used == 0) break;
     }
-    if (parser_->is_header_done() && !told_to_continue_ &&
+    if (parser_->is_header_done() && !told_to_continue_ && !parser_->message().http_1_0 &&
         same_name(parser_->message().header("Expect"), "100-continue")) {
         told_to_continue_ = true;
         error_code ignored;
@@ -151,6 +153,7 @@
 void ClientSession::begin_upload() {
     upload_ = std::make_shared<BodyStream>(front_.io(), front_.pool());
     upload_full_ = false;
+    sent_ = {};
     parser_->pass_rest_to(upload_);
     dispatch();
     if (state_ == State::Waiting) read_upload();
@@ -162,9 +165,11 @@
         if (!unread_) unread_ = front_.pool().take();
         Received got = receive(socket_, unread_.free_space(), unread_.room());
         if (got.error == asio::error::would_block) break;
-        if (got.error) return close();
+        if (got.error) return end();
         heard_ = Steady::now();
         came_ = front_.engine().now() - got.age;
+        body_read_ += got.bytes;
+        sent_.moved(std::int64_t(body_read_));
         unread_.grow(got.bytes);
     }
     if (state_ != State::Waiting || !upload_ || upload_full_) return;
@@ -172,7 +177,7 @@
     socket_.async_wait(asio::ip::tcp::socket::wait_read,
                        [self = shared_from_this(), watch = ++watch_](error_code error) {
                            if (watch != self->watch_ || self->state_ != State::Waiting) return;
-                           error ? self->close() : self->read_upload();
+                           error ? self->end() : self->read_upload();
                        });
 }
 
@@ -188,6 +193,7 @@
                 if (self->upload_.get() != upload) return;
                 self->upload_full_ = false;
                 self->heard_ = Steady::now();
+                self->sent_.reset();
                 self->read_upload();
             });
             return false;
@@ -270,13 +276,19 @@
     if (state_ != State::Waiting || !http::gone(socket_.native_handle())) return false;
     // Later: whoever asks is in the midst of what a close would call off.
     asio::post(front_.io(), [self = shared_from_this(), request = request_] {
-        if (self->state_ == State::Waiting && self->request_ == request) self->close();
+        if (self->state_ == State::Waiting && self->request_ == request) self->end();
     });
     return true;
 }
 
-// A full buffer is not read on, and so no end shows behind it.
+// A full buffer is not read on, and so no end shows behind it. And what has been written may lie in this side's system:
+// megabytes, of which a client that reads slowly takes some for longer than it may stand still.
 void ClientSession::look_after() {
+    if (state_ == State::Writing || state_ == State::Lingering) {
+        int left = unacknowledged(socket_.native_handle());
+        if (left == 0 && !blocked_) taken_.reset();
+        taken_.moved(outgoing_.written() - left);
+    }
     bool unwatched = upload_ ? upload_full_ : unread_ && unread_.room() == 0;
     if (state_ == State::Waiting && unwatched) (void)gone();
 }
@@ -307,7 +319,7 @@
             unread.grow(got.bytes);
             self->heard_ = Steady::now();
             if (got.bytes > 0) self->came_ = self->front_.engine().now() - got.age;
-            if (error && error != asio::error::would_block) return self->close();
+            if (error && error != asio::error::would_block) return self->end();
             if (unread.view().empty()) unread.release();
             self->watch_client();
         });
@@ -392,18 +404,20 @@
         long_linger_ = true;
     }
     outgoing_.set(std::move(head), std::move(body), chunked);
+    taken_.reset();
     enter(State::Writing);
     write();
 }
 
 void ClientSession::write() {
     Outgoing::State state = outgoing_.write_to(socket_);
-    if (outgoing_.moved()) since_ = Steady::now();
-    if (state == Outgoing::State::Failed) return close();
+    blocked_ = state == Outgoing::State::Blocked;
+    if (!blocked_) since_ = Steady::now();
+    if (state == Outgoing::State::Failed) return end();
     if (state == Outgoing::State::Whole) return write_rest() ? next() : void();
     socket_.async_wait(asio::ip::tcp::socket::wait_write, [self = shared_from_this()](error_code failed) {
         if (self->state_ != State::Writing) return;
-        failed ? self->close() : self->write();
+        failed ? self->end() : self->write();
     });
 }
 
@@ -418,7 +432,7 @@
         case Outgoing::Next::Broken: {  // a client that cannot see it from a length must see it from a reset
             error_code ignored;
             if (http_1_0_) socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-            close();
+            end();
             return false;
         }
         case Outgoing::Next::Wait:
@@ -440,7 +454,7 @@
 void ClientSession::watch_reader() {
     socket_.async_wait(asio::ip::tcp::socket::wait_error,
                        [self = shared_from_this(), watch = ++watch_](error_code error) {
-                           if (watch == self->watch_ && self->state_ == State::Writing && !error) self->close();
+                           if (watch == self->watch_ && self->state_ == State::Writing && !error) self->end();
                        });
 }
 
@@ -481,13 +495,30 @@
     }
     socket_.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
         if (self->state_ != State::Lingering) return;
-        static std::array<char, BufferPool::kSize> dropped;
         // Once a turn, not till nothing is left: a client that never stops would hold the loop.
-        if (!error) self->socket_.read_some(asio::buffer(dropped), error);
-        !error || error == asio::error::would_block ? self->linger() : self->close();
+        if (!error) error = self->drop_unread();
+        !error || error == asio::error::would_block ? self->linger() : self->end();
     });
 }
 
+/// What one read takes.
+error_code ClientSession::drop_unread() {
+    static std::array<char, BufferPool::kSize> dropped;
+    error_code error;
+    socket_.read_some(asio::buffer(dropped), error);
+    return error;
+}
+
+bool ClientSession::owes() {
+    return unacknowledged(socket_.native_handle()) > 0;
+}
+
+bool ClientSession::end_unread() {
+    if (state_ != State::Writing || !(blocked_ || owes()) || taken_.stood() < kUnreadMost) return false;
+    end();
+    return true;
+}
+
 bool ClientSession::unread_in_socket() {
     char byte = 0;
     error_code error;
@@ -496,11 +527,21 @@
 }
 
 bool ClientSession::spare() {
-    if (state_ == State::Lingering) return !owes(socket_.native_handle());
-    return state_ == State::Reading && ((begun_ && first_) || (!begun_ && !unread_in_socket()));
+    if (state_ == State::Lingering) return !owes();
+    return state_ == State::Reading && (first_ || !begun_) && !unread_in_socket();
 }
 
+// At once, as its descriptor is needed. What it has sent on meanwhile is read, or the close would reset it.
 void ClientSession::close() {
+    if (state_ == State::Reading && begun_) {
+        close_after_ = true;
+        reject_unread(503, retry_after(front_.door().turn_away(front_.engine().now(), {})));
+    }
+    if (state_ == State::Lingering) drop_unread();
+    end();
+}
+
+void ClientSession::end() {
     if (state_ == State::Closed) return;
     bool owed = state_ == State::Waiting;
     enter(State::Closed);
@@ -521,37 +562,60 @@
     linger();
 }
 
+/// True if its request is still not whole when all that lies there has been read: the clock by which its time ends runs
+/// on while the node stands still.
+bool ClientSession::half_sent() {
+    if (state_ != State::Reading || !begun_) return false;
+    Steady::time_point since = since_;
+    if (unread_ && parse()) return false;
+    if (unread_in_socket()) {
+        ++watch_;
+        read();
+    }
+    return state_ == State::Reading && begun_ && since_ == since;
+}
+
 void ClientSession::end_half_sent() {
-    if (state_ != State::Reading || !begun_) return;
+    if (state_ == State::Waiting && upload_ && (upload_full_ || !unread_in_socket())) {
+        call_off();
+        close_after_ = true;
+        return reject(408);
+    }
+    if (!half_sent()) return;
     close_after_ = true;
     reject_unread(408);
 }
 
 bool ClientSession::late() const {
-    if (state_ == State::Waiting) return upload_ && !upload_full_ && Steady::now() - heard_ > kPieceMost;
+    if (state_ == State::Waiting)
+        return upload_ && !upload_full_ && (Steady::now() - heard_ > kPieceMost || sent_.too_slow());
+    if (state_ == State::Writing) return taken_.too_slow() || (!blocked_ && stood() > kWriteMost);
     auto most = [this]() -> Steady::duration {
         if (state_ == State::Lingering) return long_linger_ ? kUploadLingerMost : kLingerMost;
-        if (state_ == State::Writing) return kWriteMost;
         if (!begun_) return front_.manner().client_idle;
         // A body may be slow, but not as slow as it likes.
         Duration of_body{parser_->is_header_done() ? double(body_read_) / kSlowest : 0};
         return front_.manner().request_most + std::chrono::duration_cast<Steady::duration>(of_body);
     };
-    return (state_ == State::Reading || state_ == State::Lingering || state_ == State::Writing) &&
-           stood() > most();
+    return (state_ == State::Reading || state_ == State::Lingering) && stood() > most();
 }
 
 void ClientSession::time_out() {
     if (!late() || (state_ == State::Reading && !begun_ && unread_in_socket())) return;
     if (state_ == State::Reading && !begun_) return linger();
-    if (state_ == State::Reading) return end_half_sent();
+    if (state_ == State::Reading) {
+        if (!half_sent() || !late()) return;
+        close_after_ = true;
+        return reject_unread(408);
+    }
     if (state_ == State::Waiting) {
+        if (unread_in_socket()) return;  // goes on
         call_off();
         close_after_ = true;
         return reject(408);
     }
     // A close resets a client that goes on sending, and what it has not got of its answer goes with it.
-    bool cuts = state_ == State::Lingering && stood() <= kUploadLingerMost && owes(socket_.native_handle());
+    bool cuts = state_ == State::Lingering && owes() && !taken_.too_slow();
     if (!cuts) close();
 }
 
--- a/src/http/client_session.h
+++ b/src/http/client_session.h
@@ -9,6 +9,7 @@
 
 #include "http/front.h"
 #include "http/message.h"
+#include "http/minimum_rate.h"
 #include "http/outgoing.h"
 
 namespace ochrehub::http {
@@ -25,9 +26,10 @@
     /// Also where its end lies behind bytes that nobody has read. It closes then, once its caller is through.
     bool gone() override;
 
-    /// Nothing is lost if it is closed now: between requests with nothing unread, a request not yet whole, or
-    /// only waiting for the client's close.
+    /// Nothing is lost if it is closed now: nothing is unread, and it stands between requests, its first request is not
+    /// yet whole, or it only waits for the client's close.
     bool spare();
+    /// Makes way. Half a request is answered that there is no room.
     void close();
     /// Ends it gracefully if it stands between requests with nothing unread.
     void end_rest();
@@ -36,6 +38,8 @@
     Steady::duration stood() const { return Steady::now() - since_; }
     /// Its request is decided on, and nothing tells of its client's close: looks for it.
     void look_after();
+    /// Closes it where its client does not read its answer. True if it did.
+    bool end_unread();
     /// It has stood for longer than it may.
     bool late() const;
     void time_out();
@@ -51,6 +55,7 @@
     void wait_to_read();
     void read();
     bool still_there(Duration age);
+    bool half_sent();
     bool parse();
     void dispatch();
     void begin_upload();
@@ -71,6 +76,9 @@
     bool write_rest();
     void next();
     void linger();
+    boost::system::error_code drop_unread();
+    bool owes();
+    void end();
 
     boost::asio::ip::tcp::socket socket_;
     Front& front_;
@@ -107,6 +115,9 @@
     Steady::time_point heard_{};  // when bytes were last read
     TimePoint came_{};            // ... and when they had come
     Outgoing outgoing_;
+    MinimumRate taken_;  // by its client, of its answers
+    MinimumRate sent_;   // by its client, of an upload
+    bool blocked_ = false;  // an answer, by what lies unacknowledged before it
     std::uint64_t watch_ = 0;  // a wait of an earlier watch does nothing
 };
 
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -92,6 +92,13 @@
     for (const auto& session : all) session->end_half_sent();
 }
 
+std::size_t Front::end_unread() {
+    std::vector<std::shared_ptr<ClientSession>> busy(sessions_.standing(Standing::Busy).begin(),
+                                                     sessions_.standing(Standing::Busy).end());
+    return std::size_t(
+        std::count_if(busy.begin(), busy.end(), [](const auto& session) { return session->end_unread(); }));
+}
+
 void Front::keep_to(DescriptorBudget budget) {
     sessions_.keep_to(budget);
     accept();
@@ -99,7 +106,8 @@
 
 void Front::accept() {
     if (accepting_ || !open_ || !acceptor_.is_open()) return;
-    if (!sessions_.may_accept()) return;  // until one closes
+    full_ = !sessions_.may_accept();
+    if (full_) return;
     accepting_ = true;
     acceptor_.async_wait(asio::socket_base::wait_read, [this](error_code error) {
         accepting_ = false;
@@ -116,6 +124,11 @@
     });
 }
 
+// Not its close alone makes room: each that comes to rest, or grows old, may make way.
+void Front::accept_if_full() {
+    if (full_) accept();
+}
+
 // The kernel hands connections out in their order only. Behind a stall those come first whose clients have given up
 // and are to ask again: nothing is spent on them but their close, or those behind them would grow old as well.
 error_code Front::accept_some() {
@@ -157,6 +170,7 @@
 
 void Front::stands(Table::Place place, Standing from, Standing to) {
     sessions_.stands(place, from, to);
+    if (full_ && to != Standing::Busy) asio::post(io_, [this] { accept_if_full(); });
 }
 
 void Front::closed(Table::Place place, Standing standing) {
@@ -167,10 +181,11 @@
 void Front::sweep() {
     std::vector<std::shared_ptr<ClientSession>> late;
     sessions_.each([&](const auto& session) {
-        if (session->late()) late.push_back(session);
         session->look_after();
+        if (session->late()) late.push_back(session);
     });
     for (const auto& session : late) session->time_out();
+    accept_if_full();
     if (auto change = door_.look(engine_.now())) tell(*change);
     sweep_.expires_after(kSweep);
     sweep_.async_wait([this](error_code stopped) {
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -48,6 +48,8 @@
     void end_resting();
     /// Answers what is only half there: its time is over.
     void end_half_sent();
+    /// Closes connections whose clients do not read their answers, and says how many those were.
+    std::size_t end_unread();
     /// A request that came now would be served, as far as servers are.
     bool serves() const { return open_ && !draining_ && engine_.has_servers(); }
     bool ending() const { return ending_; }
@@ -96,6 +98,7 @@
 
 private:
     void accept();
+    void accept_if_full();
     boost::system::error_code accept_some();
     void take(boost::asio::ip::tcp::socket socket);
     void sweep();
@@ -123,6 +126,7 @@
     bool shared_;        // the listener, with other processes
     bool open_ = false;  // has begun to accept
     bool accepting_ = false;
+    bool full_ = false;  // accepts again once one can make way
     int read_ = 0;        // requests since connections were last accepted
     bool stood_ = false;  // the queue, when the listener was last told
     bool draining_ = false, ending_ = false;
