Leave a node's calls to discovery to the process that made them

A call that discovery reads when its process is gone and before the next one starts was counted as the next one's. A start now begins without calls.

The case in Rule3.NodeThatDoesNotAskCountsAsTold fails with the lists as they were before, and passes with this.

--- a/lab/referee/node_lists.cpp
+++ b/lab/referee/node_lists.cpp
@@ -43,8 +43,11 @@
         // What it is started with may have been noted before its start.
         Node& node = nodes_[std::size_t(change.node)];
         if (!node.down) forget(change.node, ms(change.at));
-        nodes_[std::size_t(change.node)].down = false;
-        nodes_[std::size_t(change.node)].asked_at = ms(change.at);
+        node.down = false;
+        node.asked_at = ms(change.at);
+        // A call that discovery read by now was the former process's, whose answer nobody waits for.
+        node.calls = 0;
+        node.failed = false;
     }
 }
 
--- a/lab/tests/referee_test.cpp
+++ b/lab/tests/referee_test.cpp
@@ -417,6 +417,22 @@
               Rules{Rule::SentDraining});
     EXPECT_EQ(silent(Asked::What::Answered).add(Asked{at(9000), 0, Asked::What::Called})
                   .add(Asked{at(9001), 0, Asked::What::Answered}).one(15'496, 1, kFree, 1).rules(), kNone_);
+    // A call of the process before it, read when that was gone, is none of its own.
+    auto restarted = [](double sent) {
+        Trace trace;
+        trace.node(100, 0, NodeState::Killed)
+            .node(101, 0, NodeState::Ended)
+            .add(Asked{at(102), 0, Asked::What::Called});
+        for (ServerNo s = 0; s < kUnlisted; ++s) trace.told(110, 0, s, ToldPhase::InService, 0, s == 0);
+        return trace.node(110, 0, NodeState::Started)
+            .add(Asked{at(190), 0, Asked::What::Called})
+            .add(Asked{at(200), 0, Asked::What::Answered})
+            .server(1000, 1, ServerState::Draining)
+            .one(sent, 1, kFree, 1)
+            .rules();
+    };
+    EXPECT_EQ(restarted(15'495), kNone_);
+    EXPECT_EQ(restarted(15'495.1), Rules{Rule::SentDraining});
 }
 
 TEST(Rule3, ToldThroughACutCountsLater) {
