Hold a client's loss to the process that its connection was with

Whether a broken connection is a killed node's was asked of the node when its client came to hear of the break. NodeLives counts the processes of each node and says which were killed; a connection remembers the one that it was made to. Where another process was started while a connection was being made nobody can tell whose it is, and it is closed before anything is asked on it.

ClientTest.ALossIsOfTheProcessThatTheConnectionWasWith fails where the latest process is asked for, and NothingIsAskedWhereAnotherProcessCameAsItConnected does not end without the comparison; both pass with this.

--- a/lab/play/client_shell.cpp
+++ b/lab/play/client_shell.cpp
@@ -55,6 +55,7 @@
         if (ended_ || connecting_ || shell_.cut(node_, true) || shell_.cut(node_, false)) return;
         connecting_ = true;
         const Endpoint& to = shell_.nodes_[std::size_t(node_)];
+        life_ = shell_.lives_.latest(node_);
         error_code error;
         socket_.open(to.protocol(), error);
         if (!error) socket_.non_blocking(true, error);
@@ -63,6 +64,8 @@
         socket_.async_connect(to, [self = shared_from_this()](error_code failed) {
             if (self->ended_) return;
             if (failed) return self->lost(false);
+            // Another process was started meanwhile: who knows which of the two this one is with.
+            if (self->shell_.lives_.latest(self->node_) != self->life_) return self->lost(false);
             self->up_ = true;
             self->shell_.loop_.note(ClientConnected{self->shell_.loop_.now(), self->node_, self->hostile_});
             self->wait_to_read();
@@ -264,7 +267,7 @@
         auto gone = shell_.connections_.find(number_);
         if (gone == shell_.connections_.end()) return;  // the client has closed it meanwhile
         shell_.connections_.erase(gone);
-        shell_.handle(ConnectionLost{number_, unread, shell_.gone_(node_)});
+        shell_.handle(ConnectionLost{number_, unread, shell_.lives_.killed(node_, life_)});
     }
     void forget_try() {
         if (!ask_) return;
@@ -276,6 +279,7 @@
     const ClientConnection number_;
     const NodeNo node_;
     const bool hostile_;
+    NodeLives::Life life_ = 0;  ///< the node's process at the other end
     asio::ip::tcp::socket socket_;
     Messages<false> messages_;
     std::optional<Ask> ask_;
@@ -293,13 +297,12 @@
 };
 
 ClientShell::ClientShell(Loop& loop, const Day& day, TimePoint start, std::uint64_t seed,
-                         std::vector<Endpoint> nodes, std::function<bool(NodeNo)> gone,
-                         Duration crossing_most)
+                         std::vector<Endpoint> nodes, const NodeLives& lives, Duration crossing_most)
     : loop_(loop),
       day_(day),
       core_(day, start, seed),
       nodes_(std::move(nodes)),
-      gone_(std::move(gone)),
+      lives_(lives),
       crossing_most_(crossing_most),
       cuts_(day),
       random_(seed ^ 0x9e3779b97f4a7c15) {
--- a/lab/play/client_shell.h
+++ b/lab/play/client_shell.h
@@ -1,7 +1,6 @@
 // The emulated clients on sockets: carries out what their core says, and notes what they see.
 #pragma once
 
-#include <functional>
 #include <memory>
 #include <random>
 #include <unordered_map>
@@ -11,16 +10,17 @@
 #include "lab/model/cuts.h"
 #include "lab/play/address.h"
 #include "lab/play/loop.h"
+#include "lab/play/node_lives.h"
 
 namespace ochrehub::lab {
 
 class ClientShell {
 public:
-    /// `nodes`: where each listens. `gone`: whether a node's process is known to be dead; asked on the loop.
+    /// `nodes`: where each listens. `lives`: which of their processes were killed; outlives the shell.
     /// `crossing_most`: how long after a request's last byte a reset can still be from a close that crossed
     /// it; later ones lose the request. Throws AddressError for what is not loopback.
     ClientShell(Loop& loop, const Day& day, TimePoint start, std::uint64_t seed, std::vector<Endpoint> nodes,
-                std::function<bool(NodeNo)> gone, Duration crossing_most = Duration{100});
+                const NodeLives& lives, Duration crossing_most = Duration{100});
     ~ClientShell();
 
     // All below on the loop.
@@ -47,7 +47,7 @@
     const Day& day_;
     Clients core_;
     std::vector<Endpoint> nodes_;
-    std::function<bool(NodeNo)> gone_;
+    const NodeLives& lives_;
     Duration crossing_most_;
     Cuts cuts_;
     std::mt19937_64 random_;
--- a/lab/play/load.cpp
+++ b/lab/play/load.cpp
@@ -110,7 +110,8 @@
     day.length = length;
     Loop loop{Clock()};
     TimePoint start = loop.now() + kTick;
-    ClientShell clients(loop, day, start, options.seed, {to}, [](NodeNo) { return false; });
+    const NodeLives lives(1);  // whose end is nobody's doing here
+    ClientShell clients(loop, day, start, options.seed, {to}, lives);
     TimePoint last = start + length + longest_wait(day) + kOverMost, busy = start, say = start + kProgress;
     std::function<void()> tick = [&] {
         TimePoint now = loop.now();
--- a/lab/play/play.cpp
+++ b/lab/play/play.cpp
@@ -14,6 +14,7 @@
 #include "lab/play/client_shell.h"
 #include "lab/play/fleet.h"
 #include "lab/play/health_check.h"
+#include "lab/play/node_lives.h"
 #include "lab/play/node_process.h"
 #include "lab/play/temporary_folder.h"
 #include "lab/referee/referee.h"
@@ -40,7 +41,7 @@
 class Play {
 public:
     Play(const Day& day, const PlayOptions& options)
-        : day_(day), options_(options), random_(day.seed * 0x9e3779b97f4a7c15 + 1), gone_(day.nodes.size()) {
+        : day_(day), options_(options), random_(day.seed * 0x9e3779b97f4a7c15 + 1), lives_(day.nodes.size()) {
         if (day.nodes.empty() || day.nodes.size() > kNodesMost || day.servers.size() > kServersMost)
             throw std::invalid_argument("a day is played with 1 to 100 nodes and at most 2000 servers");
         raise_descriptor_limit();
@@ -133,9 +134,9 @@
                                                "GW_LISTEN=" + text_of(node.held->at()),
                                                "GW_DISCOVERY=" + discovery};
         note(number, NodeState::Started);
+        lives_.start(number);
         node.process->start();
         ++node.starts;
-        gone_[std::size_t(number)] = false;
         node.stage = Node::Stage::Starting;
         node.starts_again = node.overdue = false;
         node.check = HealthCheck::begin(control_, node.held->at(), [this, number] {
@@ -149,7 +150,7 @@
         Node& node = of(number);
         if (!node.process->running()) return;
         if (node.check) node.check->stop();
-        gone_[std::size_t(number)] = true;  // before the first connection can break by it
+        lives_.kill(number);  // before the first connection can break by it
         node.stage = Node::Stage::Killed;
         node.starts_again = again_at.has_value();
         node.starts_again_at = again_at.value_or(TimePoint{});
@@ -255,10 +256,7 @@
         for (const ClassFigures& c : day_.classes) longest = std::max(longest, c.give_up);
         ends_most_ = start_ + day_.length + longest + kOverMost;
         next_say_ = start_ + kProgress;
-        crowd().call([this] {
-            clients_.emplace(crowd(), day_, start_, day_.seed, listen_,
-                             [this](NodeNo node) { return gone_[std::size_t(node)].load(); });
-        });
+        crowd().call([this] { clients_.emplace(crowd(), day_, start_, day_.seed, listen_, lives_); });
         for (std::size_t i = 0; i < nodes_.size(); ++i)
             if (nodes_[i]->stage == Node::Stage::Ready) tell_clients(NodeUp{NodeNo(i)});
         crowd().post([this] { clients_->begin(); });
@@ -419,6 +417,7 @@
     const Day& day_;
     const PlayOptions& options_;
     std::mt19937_64 random_;
+    NodeLives lives_;
     std::optional<TemporaryFolder> folder_;
     Clock clock_;
     Loop control_{clock_}, fleet_loop_{clock_};
@@ -427,7 +426,6 @@
     std::optional<ClientShell> clients_;
     std::vector<std::unique_ptr<Node>> nodes_;
     std::vector<Endpoint> listen_;
-    std::vector<std::atomic<bool>> gone_;
     std::atomic<bool> clients_done_ = false;
     std::vector<Crash> crashes_;
     TimePoint ready_until_{}, start_{}, ends_most_{}, end_{}, next_say_{}, last_busy_{};
--- a/lab/tests/play_test.cpp
+++ b/lab/tests/play_test.cpp
@@ -3,13 +3,13 @@
 #include <sys/stat.h>
 
 #include <algorithm>
-#include <atomic>
 #include <fstream>
 #include <set>
 
 #include "lab/play/client_shell.h"
 #include "lab/play/datagram_relay.h"
 #include "lab/play/fleet.h"
+#include "lab/play/node_lives.h"
 #include "lab/play/node_process.h"
 #include "lab/play/spoilt.h"
 #include "lab/play/temporary_folder.h"
@@ -29,7 +29,7 @@
     Day day = small_day();
     Loop loop{Clock()};
     auto far = Endpoint(boost::asio::ip::make_address("10.1.2.3"), 80);
-    EXPECT_THROW(ClientShell(loop, day, loop.now(), 1, {far}, [](NodeNo) { return false; }), AddressError);
+    EXPECT_THROW(ClientShell(loop, day, loop.now(), 1, {far}, NodeLives(1)), AddressError);
     EXPECT_THROW(listen_at(loop.io(), far), AddressError);
     EXPECT_THROW(DatagramRelay(loop, day, 1, {{far.address(), 80}}), AddressError);
 }
@@ -471,9 +471,8 @@
         loop.finish();
     }
     void begin() {
-        clients.emplace(
-            loop, day, loop.now(), 3, std::vector{ear.at()}, [this](NodeNo) { return gone.load(); },
-            Duration{60000});
+        lives.start(0);
+        clients.emplace(loop, day, loop.now(), 3, std::vector{ear.at()}, lives, Duration{60000});
         loop.start();
         loop.post([this] {
             clients->handle(NodeUp{0});
@@ -488,7 +487,7 @@
     Day day = small_day();
     Ear ear;
     Loop loop{Clock()};
-    std::atomic<bool> gone = false;
+    NodeLives lives{1};
     std::optional<ClientShell> clients;
 };
 
@@ -551,12 +550,46 @@
     second.hear_message();
     first.shut();
     EXPECT_FALSE(await<TryLost>(loop, 1)[0].node_gone);
-    gone = true;
+    lives.kill(0);
     second.say("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nnot all of it");
     second.shut();
     EXPECT_TRUE(await<TryLost>(loop, 2)[1].node_gone);
 }
 
+TEST_F(ClientTest, ALossIsOfTheProcessThatTheConnectionWasWith) {
+    day.clients.tries = 1;
+    day.arrivals = {arrival(0, 0)};
+    begin();
+    Wire first(ear.take());
+    first.hear_message();
+    lives.kill(0);
+    lives.start(0);  // before the client hears of the end
+    first.shut();
+    EXPECT_TRUE(await<TryLost>(loop, 1)[0].node_gone);
+    Wire second(ear.take());
+    second.hear_message();
+    second.shut();
+    EXPECT_FALSE(await<TryLost>(loop, 2)[1].node_gone);
+}
+
+TEST_F(ClientTest, NothingIsAskedWhereAnotherProcessCameAsItConnected) {
+    day.arrivals = {arrival(0, 1)};
+    lives.start(0);
+    clients.emplace(loop, day, loop.now(), 3, std::vector{ear.at()}, lives, Duration{60000});
+    loop.post([this] {
+        clients->handle(NodeUp{0});
+        clients->begin();  // connects, and hears of it in a later turn of the loop
+        lives.start(0);
+    });
+    loop.start();
+    Wire unsure(ear.take()), second(ear.take());
+    EXPECT_EQ(unsure.hear(1), "");
+    EXPECT_NE(second.hear_message().find("X-Trace-Id: "), std::string::npos);
+    second.say(good(1));
+    EXPECT_EQ(await<CallEnded>(loop, 1)[0].heard, Heard::Served);
+    EXPECT_EQ(all_of<TrySent>(records()).size(), 1u);
+}
+
 TEST_F(ClientTest, ARequestThatCrossesTheNodesCloseGoesOutOnceMore) {
     day.arrivals = {arrival(0, 1), arrival(60, 1)};
     begin();
