--- a/lab/play/play.cpp
+++ b/lab/play/play.cpp
@@ -154,8 +154,11 @@
         node.stage = Node::Stage::Killed;
         node.starts_again = again_at.has_value();
         node.starts_again_at = again_at.value_or(TimePoint{});
-        note(number, NodeState::Killed);
         node.usage = node.process->usage();
+        // It goes on until the signal has come to it, and what it holds is closed later still: Killed is
+        // noted ahead of that, Ended behind it.
+        note(number, NodeState::Killed);
+        say(node_name(number) + " is killed");
         node.process->signal(SIGKILL);
         tell_clients(NodeDown{number});
     }
--- a/lab/tests/referee_test.cpp
+++ b/lab/tests/referee_test.cpp
@@ -203,6 +203,55 @@
     EXPECT_EQ(killed(999), kNone_);
 }
 
+// On sockets a process goes on for a moment behind Killed, and Ended is noted when nothing is left of it.
+TEST(Rule1, WhatIsGivenToADyingProcessDiesWithIt) {
+    auto dying = [](double given) {
+        return Trace()
+            .node(200, 0, NodeState::Killed)
+            .node(300, 0, NodeState::Ended)
+            .told(310, 0, 0, ToldPhase::InService, 0, true)
+            .node(320, 0, NodeState::Started)
+            .sent(given, 1, kFree);
+    };
+    for (double given : {200.0, 200.1, 228.7, 300.0}) {
+        // The client hears of the end late, once with and once without knowing why; or waits to its deadline.
+        EXPECT_EQ(dying(given).add(TryLost{at(485), 1, false}).rules(), kNone_) << given;
+        EXPECT_EQ(dying(given).add(TryLost{at(485), 1, true}).rules(), kNone_) << given;
+        EXPECT_EQ(dying(given).left(given + 500, 1).rules(), kNone_) << given;
+        EXPECT_EQ(dying(given).left(given + 510, 1).rules(), kNone_) << given;
+        EXPECT_EQ(dying(given).rules(), kNone_) << given;
+        EXPECT_EQ(dying(given)
+                      .arrived(given + 20, 7, 1, 3)
+                      .ended(given + 30, 7, Ended::Served)
+                      .left(given + 500, 1)
+                      .rules(),
+                  kNone_)
+            << given;
+    }
+    // The next process owes what it is given.
+    for (double given : {300.1, 320.0, 330.0}) {
+        EXPECT_EQ(dying(given).add(TryLost{at(485), 1, false}).rules(), Rules{Rule::AnswerMissing}) << given;
+        EXPECT_EQ(dying(given).left(given + 510, 1).rules(), Rules{Rule::AnswerMissing}) << given;
+        EXPECT_EQ(dying(given).rules(), Rules{Rule::AnswerMissing}) << given;
+    }
+    // Where nobody noted the end, it was over by the next start.
+    auto unnoted = [](double given) {
+        return Trace()
+            .node(200, 0, NodeState::Killed)
+            .told(320, 0, 0, ToldPhase::InService, 0, true)
+            .node(320, 0, NodeState::Started)
+            .sent(given, 1, kFree)
+            .add(TryLost{at(485), 1, false})
+            .rules();
+    };
+    EXPECT_EQ(unnoted(320), kNone_);
+    EXPECT_EQ(unnoted(320.1), Rules{Rule::AnswerMissing});
+    // A process that ends by itself owes all the same.
+    EXPECT_EQ(
+        Trace().sent(228.7, 1, kFree).node(300, 0, NodeState::Ended).add(TryLost{at(301), 1, false}).rules(),
+        Rules{Rule::AnswerMissing});
+}
+
 TEST(Rule1, StallsAndPartitionsPutDeadlinesOff) {
     auto stalled = [](double answered) {
         return Trace().sent(100, 1, kFree).node(50, 0, NodeState::Stalled).node(300, 0, NodeState::Resumed)
@@ -400,6 +449,25 @@
     EXPECT_EQ(restarted().sent(190, 1, kFree).arrived(201, 7, 1, kUnlisted).rules(), kNone_);
 }
 
+TEST(Rule3, ADyingProcessKnowsWhatItKnew) {
+    auto dying = [](double given, double arrives, ServerNo server) {
+        return Trace()
+            .node(200, 0, NodeState::Killed)
+            .node(300, 0, NodeState::Ended)
+            .told(310, 0, 0, ToldPhase::InService, 0, true)
+            .node(320, 0, NodeState::Started)
+            .sent(given, 1, kFree)
+            .arrived(arrives, 7, 1, server)
+            .ended(arrives + 5, 7, Ended::Served)
+            .served(arrives + 6, 1, 7)
+            .rules();
+    };
+    EXPECT_EQ(dying(228.7, 249.3, 1), kNone_);  // at a server that the next process is never told of
+    EXPECT_EQ(dying(299, 330, 1), kNone_);      // ... read when that one was there
+    EXPECT_EQ(dying(330, 335, 1), Rules{Rule::SentUnlisted});
+    EXPECT_EQ(dying(330, 335, 0), kNone_);
+}
+
 TEST(Rule3, NodeThatDoesNotAskCountsAsTold) {
     // Drains at 1 s, listed by 3.5 s; the node's last call is answered at 0.2 s.
     auto silent = [](Asked::What what) {
@@ -496,6 +564,25 @@
     };
     EXPECT_EQ(crossed(121), kNone_);
     EXPECT_EQ(crossed(121.1), Rules{Rule::CopyConcurrent});
+    // What a dying process sent last is out no more when another node's copy comes, whenever the server reads
+    // it.
+    auto dying = [](double given, double arrives) {
+        return Trace()
+            .node(200, 0, NodeState::Killed)
+            .node(300, 0, NodeState::Ended)
+            .told(305, 0, 3, ToldPhase::InService, 0, true)
+            .node(305, 0, NodeState::Started)
+            .sent(given, 1, kFree)
+            .arrived(arrives, 7, 1, 3)
+            .sent(arrives + 5, 1, kFree, 2)
+            .arrived(arrives + 10, 8, 1, 1, 2)
+            .ended(arrives + 50, 8, Ended::Served)
+            .served(arrives + 60, 1, 8)
+            .rules();
+    };
+    EXPECT_EQ(dying(150, 190), kNone_);
+    EXPECT_EQ(dying(210, 220), kNone_);
+    EXPECT_EQ(dying(310, 320), Rules{Rule::CopyConcurrent});
 }
 
 TEST(Cuts, AnswersThatCannotPass) {
