Note a stop behind its signal, and a standstill outside of its two signals

A planned stop was noted ahead of SIGTERM, so that a node was held to it before it could know; the end of a standstill ahead of SIGCONT, so that the node was held to time in which it still stood. Each was short by what the loop was held up between the two lines. No test forces that; lab.play passes.

--- a/lab/play/play.cpp
+++ b/lab/play/play.cpp
@@ -171,8 +171,8 @@
         node.kill_at = control_.now() + std::max(longest, kPlannedLeast) + kPlannedMore;
         node.starts_again = true;
         node.starts_again_at = again_at;
-        note(number, NodeState::Stopping);
         node.process->signal(SIGTERM);
+        note(number, NodeState::Stopping);  // behind the signal: from here on it can know, and is held to it
         // The front is told of a planned stop: clients still come for a while, and not until it notices by itself.
         control_.scheduler().call_at(control_.now() + kFrontNews, [this, number] {
             if (of(number).stage == Node::Stage::Stopping) tell_clients(NodeDown{number, true});
@@ -287,8 +287,10 @@
             if (fault.kind == FaultKind::NodeRestart && on) restart(node, again_at());
             if (fault.kind == FaultKind::NodeReload && on) reload(node);
             if (fault.kind == FaultKind::NodeStall && of(node).process->running()) {
-                note(node, on ? NodeState::Stalled : NodeState::Resumed);
+                // The two are noted outside of all that it stood still.
+                if (on) note(node, NodeState::Stalled);
                 of(node).process->signal(on ? SIGSTOP : SIGCONT);
+                if (!on) note(node, NodeState::Resumed);
             }
         }
         if (fault.kind == FaultKind::DiscoveryMoves && on) {
