--- a/lab/tests/play_test.cpp
+++ b/lab/tests/play_test.cpp
@@ -3,13 +3,14 @@
 #include <sys/stat.h>
 
 #include <algorithm>
-#include <atomic>
 #include <fstream>
+#include <functional>
 #include <set>
 
 #include "lab/play/client_shell.h"
 #include "lab/play/datagram_relay.h"
 #include "lab/play/fleet.h"
+#include "lab/play/node_lives.h"
 #include "lab/play/node_process.h"
 #include "lab/play/spoilt.h"
 #include "lab/play/temporary_folder.h"
@@ -29,7 +30,7 @@
     Day day = small_day();
     Loop loop{Clock()};
     auto far = Endpoint(boost::asio::ip::make_address("10.1.2.3"), 80);
-    EXPECT_THROW(ClientShell(loop, day, loop.now(), 1, {far}, [](NodeNo) { return false; }), AddressError);
+    EXPECT_THROW(ClientShell(loop, day, loop.now(), 1, {far}, NodeLives(1)), AddressError);
     EXPECT_THROW(listen_at(loop.io(), far), AddressError);
     EXPECT_THROW(DatagramRelay(loop, day, 1, {{far.address(), 80}}), AddressError);
 }
@@ -471,9 +472,8 @@
         loop.finish();
     }
     void begin() {
-        clients.emplace(
-            loop, day, loop.now(), 3, std::vector{ear.at()}, [this](NodeNo) { return gone.load(); },
-            Duration{60000});
+        lives.start(0);
+        clients.emplace(loop, day, loop.now(), 3, std::vector{ear.at()}, lives, Duration{60000});
         loop.start();
         loop.post([this] {
             clients->handle(NodeUp{0});
@@ -488,7 +488,7 @@
     Day day = small_day();
     Ear ear;
     Loop loop{Clock()};
-    std::atomic<bool> gone = false;
+    NodeLives lives{1};
     std::optional<ClientShell> clients;
 };
 
@@ -551,19 +551,55 @@
     second.hear_message();
     first.shut();
     EXPECT_FALSE(await<TryLost>(loop, 1)[0].node_gone);
-    gone = true;
+    lives.kill(0);
     second.say("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nnot all of it");
     second.shut();
     EXPECT_TRUE(await<TryLost>(loop, 2)[1].node_gone);
 }
 
+TEST_F(ClientTest, ALossIsOfTheProcessThatTheConnectionWasWith) {
+    day.clients.tries = 1;
+    day.arrivals = {arrival(0, 0)};
+    begin();
+    Wire first(ear.take());
+    first.hear_message();
+    lives.kill(0);
+    lives.start(0);  // before the client hears of the end
+    first.shut();
+    EXPECT_TRUE(await<TryLost>(loop, 1)[0].node_gone);
+    Wire second(ear.take());
+    second.hear_message();
+    second.shut();
+    EXPECT_FALSE(await<TryLost>(loop, 2)[1].node_gone);
+}
+
+TEST_F(ClientTest, NothingIsAskedWhereAnotherProcessCameAsItConnected) {
+    day.arrivals = {arrival(0, 1)};
+    lives.start(0);
+    clients.emplace(loop, day, loop.now(), 3, std::vector{ear.at()}, lives, Duration{60000});
+    loop.post([this] {
+        clients->handle(NodeUp{0});
+        clients->begin();  // connects, and hears of it in a later turn of the loop
+        lives.start(0);
+    });
+    loop.start();
+    Wire unsure(ear.take()), second(ear.take());
+    EXPECT_EQ(unsure.hear(1), "");
+    EXPECT_NE(second.hear_message().find("X-Trace-Id: "), std::string::npos);
+    second.say(good(1));
+    EXPECT_EQ(await<CallEnded>(loop, 1)[0].heard, Heard::Served);
+    EXPECT_EQ(all_of<TrySent>(records()).size(), 1u);
+}
+
+// In both a refusal brings the second request on the connection of the first, however late its answer is.
 TEST_F(ClientTest, ARequestThatCrossesTheNodesCloseGoesOutOnceMore) {
-    day.arrivals = {arrival(0, 1), arrival(60, 1)};
+    day.clients.tries = 1;
+    day.clients.honours = 0;
+    day.arrivals = {arrival(0, 1)};
     begin();
     Wire first(ear.take());
     first.hear_message();
-    first.say(good(1));
-    await<CallEnded>(loop, 1);
+    first.say(answer_text(503, "", ""));
     first.wait();  // the second one is there, unread
     first.shut();  // which the kernel tells by a reset
     Wire second(ear.take());
@@ -572,17 +608,18 @@
     EXPECT_EQ(sent[2].id, sent[1].id);
     EXPECT_NE(again.find(hex16(sent[1].id)), std::string::npos);
     second.say(good(2));
-    await<CallEnded>(loop, 2);
+    EXPECT_EQ(await<CallEnded>(loop, 1)[0].heard, Heard::Served);
     EXPECT_TRUE(all_of<TryLost>(records()).empty());
 }
 
 TEST_F(ClientTest, ARequestThatWasReadIsLostOnAnOldConnectionToo) {
-    day.clients.tries = 0;
-    day.arrivals = {arrival(0, 1), arrival(60, 1)};
+    day.clients.tries = 1;
+    day.clients.honours = 0;
+    day.arrivals = {arrival(0, 1)};
     begin();
     Wire first(ear.take());
     first.hear_message();
-    first.say(good(1));
+    first.say(answer_text(503, "", ""));
     first.hear_message();
     first.shut();
     EXPECT_FALSE(await<TryLost>(loop, 1)[0].node_gone);
@@ -780,9 +817,11 @@
     std::vector<Record> records;
 };
 
-Played play_it(const Day& day, const char* node = OCHREHUB_NODE, int threads = 2) {
+Played play_it(const Day& day, const char* node = OCHREHUB_NODE, int threads = 2,
+               std::function<void(const std::string&)> progress = nullptr) {
     Played played;
     PlayOptions options;
+    options.progress = std::move(progress);
     options.node = node;
     options.threads = threads;
     options.enforce_memory = false;  // sanitizers hold more
@@ -838,6 +877,31 @@
     EXPECT_GT(played.result.served, 150u);
 }
 
+// The kill is noted, and the process lives on for 100 ms: what it is given and sends then is no breach of its
+// rules.
+TEST(Play, ANodeThatGoesOnAfterItsKillIsNoted) {
+    Day day = day_of_requests(2, 900, 4);
+    day.front_notice = Duration{100};
+    day.faults = {fault_of(FaultKind::NodeKill, 200, 100, {0})};
+    Played played = play_it(day, OCHREHUB_NODE, 2, [](const std::string& text) {
+        if (text == "n0 is killed") usleep(100000);
+    });
+    EXPECT_EQ(played.result.breach_count, 0u);
+    TimePoint killed{}, ended{};
+    for (const NodeChanged& change : all_of<NodeChanged>(played.records)) {
+        if (change.node == 0 && change.state == NodeState::Killed) killed = change.at;
+        if (change.node == 0 && change.state == NodeState::Ended) ended = change.at;
+    }
+    EXPECT_GE((ended - killed).count(), 100);
+    EXPECT_TRUE(std::ranges::any_of(all_of<TrySent>(played.records), [&](const TrySent& sent) {
+        return sent.node == 0 && sent.at > killed && sent.at < ended;
+    }));
+    EXPECT_TRUE(
+        std::ranges::any_of(all_of<AttemptArrived>(played.records), [&](const AttemptArrived& arrived) {
+            return arrived.node == 0 && arrived.first_byte_at > killed && arrived.first_byte_at < ended;
+        }));
+}
+
 TEST(Play, ANodeThatStandsStillAndOneThatIsReloaded) {
     Day day = day_of_requests(2, 700, 4);
     day.faults = {fault_of(FaultKind::NodeStall, 200, 150, {1}), fault_of(FaultKind::NodeReload, 450, 0, {0}),
