Scale what a cold server is taken to carry by its size, not by the largest's slots

Cause: the cold budget has two lower bounds of a server's capacity; the one by slots took the most that any server was seen to hold for each, so a server half as large got twice its budget.

The budget's lines are fewer: the first span's length is kept as such, what slows a slow server's budget stands in `carried`.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -111,15 +111,14 @@
     double weight = 1, limit = 0;  // as of weight_at; of own requests in flight
     TimePoint probe_sent{}, foreign_at{}, pace_at{}, limit_cut{}, last_send{}, used_at{};
     TimePoint weight_at = TimePoint::min();
-    Duration last_elapsed{};
+    Duration last_elapsed{}, cold_span{};     // ...; the length of that span
     TimePoint shut_until = TimePoint::min();  // takes no new connection
-    double errors = 0;                        // share of its outcomes of late
-    int shuts = 0;                            // in a row
-    bool connected = false;                   // an answer has come since the last break
-    int silent = 0;                           // own attempts past their time since the last real answer
+    double errors = 0, cold_draw = 0;  // share of its outcomes of late; this gateway's luck in that span
+    int shuts = 0;                     // in a row
+    bool connected = false;            // an answer has come since the last break
+    int silent = 0;                    // own attempts past their time since the last real answer
     std::vector<std::pair<TimePoint, double>> cold_sends;  // of the last span, with their usual times
     TimePoint cold_until = TimePoint::min();               // end of the span that cold_draw holds for
-    double cold_part = 1, cold_draw = 0;  // the span's length in tip_after; this gateway's luck in it
 };
 
 struct Attempt {
@@ -276,6 +275,7 @@
         s.seen_draining = entry.phase == Phase::Draining || (s.seen_draining && entry.phase == Phase::Gone);
         s.entry = entry;
         if (s.entry.size <= 0) s.entry.size = 1;
+        largest_ = std::max(largest_, s.entry.size);
         if (s.entry.key == 0) s.entry.key = s.id;
         if (fresh || restarted || returned) start_anew(s);
     }
@@ -497,35 +497,31 @@
         return sum / double(class_state_.size());
     }
 
-    // Rule 4, kept by each gateway alone: its even part of what a cold server stands, assuming that all to
-    // whom it is given send as much. A send counts as its class's usual time. Under one send a span, a seeded
-    // draw says for each whether this gateway is one of the few that send. The first span ends at a drawn
-    // time: those told together do not send together.
+    // Rule 4, by each gateway alone: its even part of what a cold server stands, if all that use it send as
+    // much. Under one send a span a draw says who sends; the first span ends at a drawn time: those told
+    // together do not send together.
     bool cold_room(Server& s, double usual) {
         if (share(s) >= 1 || s.users < 0) return share(s) >= 1;
         std::erase_if(s.cold_sends, [this](const auto& a) { return a.first <= now_ - set_.tip_after; });
         if (now_ >= s.cold_until) {
-            s.cold_part = s.cold_until == TimePoint::min() && set_.balancers > 1 ? uniform() : 1;
-            s.cold_until = now_ + s.cold_part * set_.tip_after;
-            s.cold_draw = uniform();
+            s.cold_span = set_.tip_after;
+            if (s.cold_until == TimePoint::min() && set_.balancers > 1) s.cold_span *= uniform();
+            s.cold_until = now_ + s.cold_span, s.cold_draw = uniform();
         }
         double senders = s.users > 0 ? s.users : 1.5 * sharers(), sent = 0;
         double budget = part_ * kColdMargin * set_.overload_factor * share(s) * carried(s);
-        budget *= set_.tip_after.count() / 1000 / std::min(double(set_.balancers), kColdSenders * senders);
+        budget *= s.cold_span.count() / 1000 / std::min(double(set_.balancers), kColdSenders * senders);
         for (const auto& [at, its] : s.cold_sends) sent += its;
-        budget *= std::min(1.0, fleet_pace() / pace(s));  // its own answers say if it is a slow one
-        double chance = kColdReserve * std::sqrt(sent * usual);
-        return sent + chance + (1 - s.cold_draw) * usual <= budget * s.cold_part;
+        return sent + kColdReserve * std::sqrt(sent * usual) + (1 - s.cold_draw) * usual <= budget;
     }
 
-    // Usual times a second that a server like it is seen to carry, lower bounds both: what its slots serve,
-    // and its part of the most that this gateway got served of late, if all do as well. Not of what it gets
-    // served now: in a release that is what cold servers are sent, and would fall by its own fall.
+    // Usual times a second that such a server is seen to carry: by its slots, or its part of the most that
+    // this gateway got served of late (what is served now falls by its own fall). Less if it answers slowly.
     double carried(const Server& s) const {
-        double slots = std::max(1.0, slots_) * 1000 / 1.5;
-        double served = most_served_.left(now_, kServedFade) * set_.balancers;
         double size = set_.live_sizes ? total_size_ / double(order_.size()) : s.entry.size;
-        return std::max(slots, served * size / std::max(1e-9, total_size_));
+        double slots = std::max(1.0, slots_) * 1000 / 1.5 * (set_.live_sizes ? 1 : size / largest_);
+        double served = most_served_.left(now_, kServedFade) * set_.balancers * size / total_size_;
+        return std::max(slots, served) * std::min(1.0, fleet_pace() / pace(s));
     }
 
     double weight(Server& s) {
@@ -1020,7 +1016,7 @@
     Fading fleet_pace_, missed_;  // above the usual; the share of crossings that went badly
     Fading arrivals_, served_, most_served_;
     double mean_gain_ = 1, idle_loss_ = 0, used_loss_ = 0, errors_ = 0, mean_foreign_ = 0, slots_ = 0,
-           total_size_ = 1, retry_tokens_ = kBurst;
+           total_size_ = 1, largest_ = 0, retry_tokens_ = kBurst;
     TimePoint resting_until_{}, queue_due_{}, subset_at_{};
     int rewatch_tries_ = 0;
     std::map<std::uint64_t, TimePoint> out_by_hand_;  // keys, and since when
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -523,6 +523,37 @@
     EXPECT_GE(light, 3 * heavy);
 }
 
+// What the slots of the largest server carry was taken for what any cold one does.
+TEST(ColdStart, ASmallHostIsNotTakenForOneAsLargeAsAny) {
+    auto sends_to = [](double size) {
+        Settings set = unprobed();
+        set.classes.resize(1);
+        Gateway g(set);
+        auto large = entry(1), cold = entry(2);
+        large.size = 4, cold.size = size, cold.last_start = at(10'002);
+        g.list(0, {large});
+        RequestId id = 0;
+        for (double t = 10; t < 10'000; t += 100) {  // far less than a slot's work, but what a request takes is learnt
+            if (auto to = sent_to(g.arrive(t, ++id))) g.ok(t + 10, id, *to, 10);
+        }
+        large.phase = Phase::Draining;
+        g.list(10'002, {large, cold});
+        int sends = 0;
+        for (double t = 10'003; t < 12'000; t += 5) {
+            auto sent = all_of<Forward>(g.arrive(t, ++id, 0, 100));
+            for (std::size_t n = 0; n < sent.size(); ++n) {
+                auto more = all_of<Forward>(g.ok(t + 1, sent[n].request, sent[n].server, 10));
+                sent.insert(sent.end(), more.begin(), more.end());
+            }
+            sends += int(sent.size());
+        }
+        return sends;
+    };
+    int large = sends_to(4), small = sends_to(1);
+    EXPECT_GE(small, 5);
+    EXPECT_LE(small, 0.4 * large);
+}
+
 TEST(ColdStart, AHostBackFromAnOutageIsColdBeforeTheListSaysSo) {
     Settings set = make_settings();
     Gateway g(set);
