--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -45,7 +45,7 @@
 constexpr Duration kForgetAfter{60000};  // a server that the list lacks for this is forgotten
 constexpr double kColdMargin = 0.75;     // part of a cold server's budget that is used: handshakes, chance
 constexpr double kColdSenders = 1.3;     // room for lists that differ for a while, and with them the shares
-constexpr double kColdReserve = 0.4;     // ... less so many times the root of the number sent, in sends
+constexpr double kColdReserve = 0.4, kColdConnect = 1.5;  // less roots of sends; sends of one that connects
 constexpr Duration kRateOver{5000};      // time over which rates are told
 constexpr Duration kServedFade{60000};   // how long the most that this gateway got served is believed
 constexpr double kPaceGain = 0.15, kFleetPaceGain = 0.06;  // weight of one answer: in one's, in all's
@@ -112,15 +112,14 @@
     double weight = 1, limit = 0;  // as of weight_at; of own requests in flight
     TimePoint probe_sent{}, foreign_at{}, pace_at{}, limit_cut{}, last_send{}, used_at{};
     TimePoint weight_at = TimePoint::min();
-    Duration last_elapsed{};
+    Duration last_elapsed{}, cold_span{};     // ...; the length of that span
     TimePoint shut_until = TimePoint::min();  // takes no new connection
-    double errors = 0;                        // share of its outcomes of late
-    int shuts = 0;                            // in a row
-    bool connected = false;                   // an answer has come since the last break
-    int silent = 0;                           // own attempts past their time since the last real answer
+    double errors = 0, cold_draw = 0;  // share of its outcomes of late; this gateway's luck in that span
+    int shuts = 0;                     // in a row
+    bool connected = false;            // an answer has come since the last break
+    int silent = 0;                    // own attempts past their time since the last real answer
     std::vector<std::pair<TimePoint, double>> cold_sends;  // of the last span, with their usual times
     TimePoint cold_until = TimePoint::min();               // end of the span that cold_draw holds for
-    double cold_part = 1, cold_draw = 0;  // the span's length in tip_after; this gateway's luck in it
 };
 
 struct Attempt {
@@ -186,7 +185,7 @@
     std::size_t avoided() const { return avoided_; }
 
     void handle(TimePoint now, const Event& event, Actions& actions) {
-        now_ = now;
+        now_ = now, begun_ = std::min(begun_, now);
         out_ = &actions;
         std::visit([this](const auto& e) { on(e); }, event);
         choose_members();
@@ -275,6 +274,7 @@
         s.seen_draining = entry.phase == Phase::Draining || (s.seen_draining && entry.phase == Phase::Gone);
         s.entry = entry;
         if (s.entry.size <= 0) s.entry.size = 1;
+        largest_ = std::max(largest_, s.entry.size);
         if (s.entry.key == 0) s.entry.key = s.id;
         if (fresh || restarted || returned) start_anew(s);
     }
@@ -497,35 +497,36 @@
         return sum / double(class_state_.size());
     }
 
-    // Rule 4, kept by each gateway alone: its even part of what a cold server stands, assuming that all to
-    // whom it is given send as much. A send counts as its class's usual time. Under one send a span, a seeded
-    // draw says for each whether this gateway is one of the few that send. The first span ends at a drawn
-    // time: those told together do not send together.
+    // Rule 4, by each gateway alone: its even part of what a cold server stands, if all that use it send as
+    // much. Under one send a span a draw says who sends; the first span ends at a drawn time: those told
+    // together do not send together. A process leaves room for what one before it in its place may have sent.
     bool cold_room(Server& s, double usual) {
         if (share(s) >= 1 || s.users < 0) return share(s) >= 1;
         std::erase_if(s.cold_sends, [this](const auto& a) { return a.first <= now_ - set_.tip_after; });
         if (now_ >= s.cold_until) {
-            s.cold_part = s.cold_until == TimePoint::min() && set_.balancers > 1 ? uniform() : 1;
-            s.cold_until = now_ + s.cold_part * set_.tip_after;
-            s.cold_draw = uniform();
+            s.cold_span = set_.tip_after;
+            if (s.cold_until == TimePoint::min() && set_.balancers > 1) s.cold_span *= uniform();
+            s.cold_until = now_ + s.cold_span, s.cold_draw = uniform();
         }
         double senders = s.users > 0 ? s.users : 1.5 * sharers(), sent = 0;
+        Duration span = std::min(s.cold_span, std::max(now_, *s.started + set_.tip_after) - begun_);
         double budget = part_ * kColdMargin * set_.overload_factor * share(s) * carried(s);
-        budget *= set_.tip_after.count() / 1000 / std::min(double(set_.balancers), kColdSenders * senders);
+        budget *= span.count() / 1000 / std::min(double(set_.balancers), kColdSenders * senders);
         for (const auto& [at, its] : s.cold_sends) sent += its;
-        budget *= std::min(1.0, fleet_pace() / pace(s));  // its own answers say if it is a slow one
-        double chance = kColdReserve * std::sqrt(sent * usual);
-        return sent + chance + (1 - s.cold_draw) * usual <= budget * s.cold_part;
+        return sent + kColdReserve * std::sqrt(sent * usual) + (1 - s.cold_draw) * usual <= budget;
     }
 
-    // Usual times a second that a server like it is seen to carry, lower bounds both: what its slots serve,
-    // and its part of the most that this gateway got served of late, if all do as well. Not of what it gets
-    // served now: in a release that is what cold servers are sent, and would fall by its own fall.
+    double cold_cost(const Request& r, const Server& s) const {  // with the connection that a first one opens
+        return state(r).floor_ms * (s.connected || !s.cold_sends.empty() ? 1 : kColdConnect);
+    }
+
+    // Usual times a second that such a server is seen to carry: by its slots, or its part of the most that
+    // this gateway got served of late (what is served now falls by its own fall). Less if it answers slowly.
     double carried(const Server& s) const {
-        double slots = std::max(1.0, slots_) * 1000 / 1.5;
-        double served = most_served_.left(now_, kServedFade) * set_.balancers;
         double size = set_.live_sizes ? total_size_ / double(order_.size()) : s.entry.size;
-        return std::max(slots, served * size / std::max(1e-9, total_size_));
+        double slots = std::max(1.0, slots_) * 1000 / 1.5 * (set_.live_sizes ? 1 : size / largest_);
+        double served = most_served_.left(now_, kServedFade) * set_.balancers * size / total_size_;
+        return std::max(slots, served) * std::min(1.0, fleet_pace() / pace(s));
     }
 
     double weight(Server& s) {
@@ -603,7 +604,7 @@
         if (r.finished || r.streaming || now_ >= r.give_up_at) return false;
         if (int(r.attempts.size()) >= set_.max_attempts) return false;
         if (r.open > 0 && !set_.second_copies) return false;
-        if (!in_use(s) || !cold_room(s, state(r).floor_ms)) return false;
+        if (!in_use(s) || !cold_room(s, cold_cost(r, s))) return false;
         for (const Attempt& a : r.attempts) {
             if (a.fate == Fate::NeverRan || c.effect == Effect::Free) continue;
             if (c.effect == Effect::SingleShot) return false;
@@ -827,7 +828,7 @@
         r.attempts.push_back({i, now_, Fate::Open, false, false, idled, int(held(s))});
         ++r.open, ++s.own, ++s.refs;
         s.last_send = now_;
-        if (share(s) < 1) s.cold_sends.emplace_back(now_, state(r).floor_ms);
+        if (share(s) < 1) s.cold_sends.emplace_back(now_, cold_cost(r, s));
         bool timed = set_.cancel && !r.uploading;
         emit(Forward{r.id, s.id, timed ? r.useful_until - now_ : Duration{0}, r.repeat_by});
         if (!r.uploading) expect_answer(r, s);
@@ -1023,8 +1024,8 @@
     Fading fleet_pace_, missed_;  // above the usual; the share of crossings that went badly
     Fading arrivals_, served_, most_served_;
     double mean_gain_ = 1, idle_loss_ = 0, used_loss_ = 0, errors_ = 0, mean_foreign_ = 0, slots_ = 0,
-           total_size_ = 1, retry_tokens_ = kBurst;
-    TimePoint resting_until_{}, queue_due_{}, subset_at_{};
+           total_size_ = 1, largest_ = 0, retry_tokens_ = kBurst;
+    TimePoint begun_ = TimePoint::max(), resting_until_{}, queue_due_{}, subset_at_{};
     int rewatch_tries_ = 0;
     std::map<std::uint64_t, TimePoint> out_by_hand_;                 // keys, and since when
     std::map<std::uint64_t, std::pair<TimePoint, TimePoint>> back_;  // put back of late: out from, and till
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -523,6 +523,93 @@
     EXPECT_GE(light, 3 * heavy);
 }
 
+// What the slots of the largest server carry was taken for what any cold one does.
+TEST(ColdStart, ASmallHostIsNotTakenForOneAsLargeAsAny) {
+    auto sends_to = [](double size) {
+        Settings set = unprobed();
+        set.classes.resize(1);
+        Gateway g(set);
+        auto large = entry(1), cold = entry(2);
+        large.size = 4, cold.size = size, cold.last_start = at(10'002);
+        g.list(0, {large});
+        RequestId id = 0;
+        for (double t = 10; t < 10'000; t += 100) {  // far less than a slot's work, but what a request takes is learnt
+            if (auto to = sent_to(g.arrive(t, ++id))) g.ok(t + 10, id, *to, 10);
+        }
+        large.phase = Phase::Draining;
+        g.list(10'002, {large, cold});
+        int sends = 0;
+        for (double t = 10'003; t < 12'000; t += 5) {
+            auto sent = all_of<Forward>(g.arrive(t, ++id, 0, 100));
+            for (std::size_t n = 0; n < sent.size(); ++n) {
+                auto more = all_of<Forward>(g.ok(t + 1, sent[n].request, sent[n].server, 10));
+                sent.insert(sent.end(), more.begin(), more.end());
+            }
+            sends += int(sent.size());
+        }
+        return sends;
+    };
+    int large = sends_to(4), small = sends_to(1);
+    EXPECT_GE(small, 5);
+    EXPECT_LE(small, 0.4 * large);
+}
+
+// A process that had just begun took the whole of a cold server's budget, whatever one before it in its place had sent.
+TEST(ColdStart, ProcessesThatFollowEachOtherStayInsideOnesBudget) {
+    Settings set = unprobed();
+    set.classes.resize(1);
+    auto cold = entry(1);
+    cold.last_start = at(1000);
+    double most = 0, usual = set.classes[0].aim.count() / 4;  // what a request takes; nothing answered says otherwise
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        std::vector<double> sends;
+        for (int life = 0; life < 12; ++life) {
+            Gateway g(set, seed * 100 + std::uint64_t(life));
+            double begins = 3000 + 400.0 * life;
+            g.list(begins, {cold});
+            for (RequestId i = 1; i < 200; ++i) {
+                double t = begins + 2 * double(i);
+                auto to = sent_to(g.arrive(t, i));
+                if (!to) continue;
+                sends.push_back(t);
+                g.end(t + 1, i, 0, *to, Outcome::Full, usual);
+            }
+        }
+        for (std::size_t i = 0; i < sends.size(); ++i) {
+            double in_span = 0, share = std::min(1.0, 0.3 + 0.7 * (sends[i] - 1000) / 8000);
+            for (std::size_t k = i; k < sends.size() && sends[k] < sends[i] + 2000; ++k) ++in_span;
+            double budget = 2.5 * share * 2 * 1000 / 1.5 / usual;  // of one slot, at the span's begin
+            most = std::max(most, (in_span - budget) / (2 * std::sqrt(budget) + 2));
+        }
+        EXPECT_GT(sends.size(), 5u) << seed;
+    }
+    EXPECT_LE(most, 1);
+}
+
+// Where each of many sends once, nearly as much arrives for their connections as for what they send.
+TEST(ColdStart, ASendThatOpensAConnectionCountsForMore) {
+    Settings set = unprobed();
+    set.classes.resize(1);
+    set.balancers = 60;
+    double usual = set.classes[0].aim.count() / 4;  // what a request takes; nothing answered says otherwise
+    int sent = 0;
+    for (std::uint64_t seed = 1; seed <= 600; ++seed) {
+        Gateway g(set, seed);
+        g.list(0, {entry(1)});
+        auto cold = entry(1);
+        cold.last_start = at(3000);
+        g.list(3001, {cold});
+        for (RequestId i = 1; i < 200; ++i) {
+            auto to = sent_to(g.arrive(3001 + 10 * double(i), i));
+            sent += to.has_value();
+            if (to) g.end(3002 + 10 * double(i), i, 0, *to, Outcome::Full, usual);
+        }
+    }
+    double budget = 0.75 * 2.5 * 0.475 * 2 * 1000 / 1.5 / usual / 60;  // of each, at the span's end
+    EXPECT_GT(sent, 0.2 * 600 * budget);
+    EXPECT_LE(sent, 0.75 * 600 * budget);
+}
+
 TEST(ColdStart, AHostBackFromAnOutageIsColdBeforeTheListSaysSo) {
     Settings set = make_settings();
     Gateway g(set);
