Rename Door to AdmissionController

Need: names follow the standard terms of the field. Identifiers and their mentions alone; nothing acts otherwise.

--- a/lab/sim/emulated_node.cpp
+++ b/lab/sim/emulated_node.cpp
@@ -55,7 +55,7 @@
 }
 
 EmulatedNode::EmulatedNode(const Day& day, NodeNo node, const Settings& settings, NodeScheduler& scheduler,
-                           NodeWorld& world, const ListOut& known, std::uint64_t seed, Meddler* meddler, bool bounded_door,
+                           NodeWorld& world, const ListOut& known, std::uint64_t seed, Meddler* meddler, bool bounded_admission,
                            SimFront::WeatherHeard weather)
     : engine_(scheduler, settings, seed),
       pool_(scheduler, world, engine_, settings, budget_of(day, node).servers, meddler),
@@ -63,7 +63,7 @@
           front_.listed(listing);
           engine_.listed(listing);
       }),
-      front_(scheduler, world, engine_, Door::of(settings, budget_of(day, node).asked, ~seed, bounded_door),
+      front_(scheduler, world, engine_, AdmissionController::of(settings, budget_of(day, node).asked, ~seed, bounded_admission),
              budget_of(day, node), meddler, pool_.hands(), std::move(weather)) {
     engine_.connect(pool_, watch_);
     pool_.hands().reply = [&world](ClientConnection connection, TryId id, const SimReply& reply) {
--- a/lab/sim/sim_front.cpp
+++ b/lab/sim/sim_front.cpp
@@ -54,13 +54,13 @@
         knock_ = {ask.cls, ask.tenant, ask.marked, connection_};
         if (over_) {
             close_after_ = true;
-            return turn_away(front_.door_.turn_away(front_.scheduler_.now(), knock_));
+            return turn_away(front_.admission_.turn_away(front_.scheduler_.now(), knock_));
         }
         if (now - came >= front_.lag_.most(ask.patience)) {
             front_.scheduler_.was_cheap();
-            return turn_away(front_.door_.turn_away(now, knock_));
+            return turn_away(front_.admission_.turn_away(now, knock_));
         }
-        if (auto back = front_.door_.arrive(front_.scheduler_.now(), knock_)) return turn_away(*back);
+        if (auto back = front_.admission_.arrive(front_.scheduler_.now(), knock_)) return turn_away(*back);
         call.request.class_index = ask.cls;
         call.request.tenant = ask.tenant;
         call.request.client_repeat = ask.marked;
@@ -88,8 +88,8 @@
         bool entered = std::exchange(submitted_, false);
         if (entered) {
             TimePoint now = front_.scheduler_.now();
-            front_.door_.leave(now, knock_, reply.verdict == Verdict::Served, now - since_, reply.server_took);
-            if (reply.verdict == Verdict::Refused) reply.retry_after = front_.door_.refuse(now, knock_);
+            front_.admission_.leave(now, knock_, reply.verdict == Verdict::Served, now - since_, reply.server_took);
+            if (reply.verdict == Verdict::Refused) reply.retry_after = front_.admission_.refuse(now, knock_);
         }
         SimReply out;
         out.heard = reply.verdict == Verdict::Served    ? Heard::Served
@@ -127,7 +127,7 @@
         if (std::exchange(submitted_, false)) {
             front_.engine_.depart(request_);
             TimePoint now = front_.scheduler_.now();
-            front_.door_.leave(now, knock_, false, now - since_);
+            front_.admission_.leave(now, knock_, false, now - since_);
         }
         std::shared_ptr<Session> self = front_.table_.leave(place_, standing_);
         front_.sessions_.erase(connection_);
@@ -153,18 +153,18 @@
     Table::Place place_{};
     TimePoint since_;
     RequestId request_ = 0;
-    Door::Knock knock_;
+    AdmissionController::Knock knock_;
     std::shared_ptr<const SimMessage> message_;
 };
 
-SimFront::SimFront(NodeScheduler& scheduler, NodeWorld& world, Engine& engine, Door door,
+SimFront::SimFront(NodeScheduler& scheduler, NodeWorld& world, Engine& engine, AdmissionController admission,
                    DescriptorBudget budget, Meddler* meddler, const Meddler::Hands& hands, WeatherHeard weather)
     : scheduler_(scheduler),
       world_(world),
       engine_(engine),
       meddler_(meddler),
       hands_(hands),
-      door_(std::move(door)),
+      admission_(std::move(admission)),
       weather_(std::move(weather)),
       table_(budget) {
     sweep();
@@ -182,7 +182,7 @@
 
 void SimFront::accept(ClientConnection connection) {
     bool over = table_.over();
-    door_.connection_opened(scheduler_.now());
+    admission_.connection_opened(scheduler_.now());
     auto session = std::make_shared<Session>(*this, connection, over);
     session->entered(table_.enter(session));
     sessions_[connection] = std::move(session);
@@ -236,7 +236,7 @@
         if (session->late()) late.push_back(session);
     });
     for (const auto& session : late) session->close();
-    std::optional<Weather::Change> change = door_.look(scheduler_.now());
+    std::optional<Weather::Change> change = admission_.look(scheduler_.now());
     if (change && weather_) weather_(*change);
     scheduler_.call_at(scheduler_.now() + kSweep, [this] { sweep(); });
 }
--- a/lab/sim/sim_front.h
+++ b/lab/sim/sim_front.h
@@ -19,7 +19,7 @@
 public:
     using WeatherHeard = std::function<void(const Weather::Change&)>;
 
-    SimFront(NodeScheduler& scheduler, NodeWorld& world, Engine& engine, Door door, DescriptorBudget budget,
+    SimFront(NodeScheduler& scheduler, NodeWorld& world, Engine& engine, AdmissionController admission, DescriptorBudget budget,
              Meddler* meddler, const Meddler::Hands& hands, WeatherHeard weather = nullptr);
     ~SimFront();
 
@@ -27,7 +27,7 @@
     void asked(const Ask& ask);
     void noise(ClientConnection connection);
     void closed(ClientConnection connection);
-    void listed(const Listing& listing) { door_.listed(scheduler_.now(), listing.update); }
+    void listed(const Listing& listing) { admission_.listed(scheduler_.now(), listing.update); }
     void drain() { draining_ = true; }
     bool quiet() const;
 
@@ -45,7 +45,7 @@
     Engine& engine_;
     Meddler* meddler_;
     const Meddler::Hands& hands_;
-    Door door_;
+    AdmissionController admission_;
     WeatherHeard weather_;
     Table table_;
     boost::unordered_flat_map<ClientConnection, std::shared_ptr<Session>> sessions_;
--- a/lab/sim/world.cpp
+++ b/lab/sim/world.cpp
@@ -105,7 +105,7 @@
         scheduler_->enter([this, &settings, seed, &weather] {
             node_ = std::make_unique<EmulatedNode>(world_.day_, number_, settings, *scheduler_, *this,
                                                    world_.discovery_->known(), seed, meddler_.get(),
-                                                   world_.options_.bounded_door, std::move(weather));
+                                                   world_.options_.bounded_admission, std::move(weather));
         });
     }
     void end() {
--- a/lab/sim/world.h
+++ b/lab/sim/world.h
@@ -23,7 +23,7 @@
 struct WorldOptions {
     std::function<std::unique_ptr<Meddler>(NodeNo)> meddler;
     std::function<void(Settings&)> settings;  ///< changes what the module is told
-    bool bounded_door = true;                 ///< false: nodes let everything in
+    bool bounded_admission = true;                 ///< false: nodes let everything in
     bool sheds = true;                        ///< false: nodes read all in its order, however old
     bool fleet = false;                       ///< nodes know each other, as by [fleet], and divide by those that are here
     std::function<void(NodeNo, const Weather::Change&)> weather;  ///< as nodes see it; hears of each change
--- a/lab/tests/explore_test.cpp
+++ b/lab/tests/explore_test.cpp
@@ -1,4 +1,4 @@
-// Door, engine and decision module together on virtual time, with one to three servers, under any sequence of small
+// Admission, engine and decision module together on virtual time, with one to three servers, under any sequence of small
 // events: who enters is answered or has left, nobody is answered twice, and whoever comes back when it is told to is
 // served once servers answer again.
 #include <gtest/gtest.h>
@@ -106,7 +106,7 @@
 class Node : public Registry {
 public:
     explicit Node(int listed, std::uint64_t seed)
-        : door(Door::of(settings(), 12, seed)), fleet(scheduler), engine(scheduler, settings(), seed), listed_(listed) {
+        : admission(AdmissionController::of(settings(), 12, seed)), fleet(scheduler), engine(scheduler, settings(), seed), listed_(listed) {
         fleet.events = &engine;
         engine.connect(fleet, *this);
         list(ListKind::Full, (1 << listed) - 1);
@@ -131,7 +131,7 @@
             entry.phase = in ? Phase::Ready : Phase::Draining;
             listing.addresses.emplace_back();
         }
-        door.listed(scheduler.now(), listing.update);
+        admission.listed(scheduler.now(), listing.update);
         engine.listed(listing);
     }
     void run_to(double ms) {
@@ -140,7 +140,7 @@
     }
 
     VirtualScheduler scheduler{TimePoint{Duration{1e6}}};
-    Door door;
+    AdmissionController admission;
     Fleet fleet;
     Engine engine;
     bool failing = false;
@@ -159,7 +159,7 @@
         if (served || left) return;
         TimePoint now = node_.scheduler.now();
         knock_ = {cls_, tenant_, tries_++ > 0, std::uint64_t(number_ + 1)};
-        if (auto back = node_.door.arrive(now, knock_)) return again(*back);
+        if (auto back = node_.admission.arrive(now, knock_)) return again(*back);
         Call call;
         call.request.class_index = cls_;
         call.request.tenant = tenant_;
@@ -177,7 +177,7 @@
         if (!std::exchange(out_, false)) return;
         ++departed;
         node_.engine.depart(open_);
-        node_.door.leave(node_.scheduler.now(), knock_, false, node_.scheduler.now() - entered_);
+        node_.admission.leave(node_.scheduler.now(), knock_, false, node_.scheduler.now() - entered_);
     }
 
     bool served = false, left = false;
@@ -197,9 +197,9 @@
         TimePoint now = node_.scheduler.now();
         out_ = false;
         ++answered;
-        node_.door.leave(now, knock_, reply.verdict == Verdict::Served, now - entered_, reply.server_took);
+        node_.admission.leave(now, knock_, reply.verdict == Verdict::Served, now - entered_, reply.server_took);
         served |= reply.verdict == Verdict::Served;
-        if (reply.verdict == Verdict::Refused) return again(node_.door.refuse(now, knock_));
+        if (reply.verdict == Verdict::Refused) return again(node_.admission.refuse(now, knock_));
         if (reply.verdict == Verdict::Failed) again(Duration{100});
     }
     void again(Duration back) {
@@ -212,14 +212,14 @@
     double patience_;
     bool heeds_, out_ = false;
     int tries_ = 0;
-    Door::Knock knock_;
+    AdmissionController::Knock knock_;
     TimePoint entered_{};
     RequestId open_ = 0;
 };
 
 struct Seen {
     int entered = 0, answered = 0, departed = 0, twice = 0, unserved = 0, refusals = 0;
-    std::size_t open = 0, held = 0, door = 0;
+    std::size_t open = 0, held = 0, admission = 0;
 };
 
 Seen explore(const std::vector<std::uint32_t>& events) {
@@ -242,7 +242,7 @@
                 if (!clients.empty()) clients[what % clients.size()]->leave();
                 break;
             default: {
-                // A burst now and then: what comes together meets a full door.
+                // A burst now and then: what comes together meets a full admission.
                 int many = (event & 0xf) == 7 ? 8 : 1;
                 for (int i = 0; i < many && clients.size() < 60; ++i) {
                     int number = int(clients.size());
@@ -271,7 +271,7 @@
     node.run_to(now + kHealsWithin + 2000);
     seen.open = node.engine.open_requests();
     seen.held = node.engine.held_requests();
-    seen.door = node.door.open();
+    seen.admission = node.admission.open();
     return seen;
 }
 
@@ -284,7 +284,7 @@
         RC_ASSERT(seen.unserved == 0);
         RC_ASSERT(seen.open == 0u);
         RC_ASSERT(seen.held == 0u);
-        RC_ASSERT(seen.door == 0u);
+        RC_ASSERT(seen.admission == 0u);
     }));
 }
 
--- a/lab/tests/simulate_test.cpp
+++ b/lab/tests/simulate_test.cpp
@@ -315,7 +315,7 @@
     EXPECT_GT(after, 50);
 }
 
-// Requests that wait in nodes hold their clients' connections: with few descriptors newcomers are told at the door that
+// Requests that wait in nodes hold their clients' connections: with few descriptors newcomers are told by admission control that
 // there is no room, which closes their connections, and ask again on new ones.
 TEST(World, AnOverloadThatClientsRepeatDoesNotTurnIntoAStormOfConnections) {
     Scenario scenario = Scenario::parse("summary = \"few\"\n[load]\nutilisation = 1.2\n[nodes]\nsockets = 128\n", "few");
@@ -325,7 +325,7 @@
     for (std::uint64_t seed = 1; seed <= 8; ++seed) {
         auto play = [&](bool bounded) {
             WorldOptions options;
-            options.bounded_door = bounded;
+            options.bounded_admission = bounded;
             return simulate(scenario.draw(seed), options).result;
         };
         Result open = play(false), bounded = play(true);
--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -123,7 +123,7 @@
     return left < -kRemembered.count() ? 0 : entry.strikes;
 }
 
-Door::Door(const Settings& settings)
+AdmissionController::AdmissionController(const Settings& settings)
     : room_(double(std::max<std::size_t>(settings.room, 1))),
       bounded_(settings.bounded),
       advises_(settings.most_advice.count() > 0),
@@ -142,7 +142,7 @@
     tenants_.push_back({sum > 0 ? sum / double(settings.shares.size()) : 1, 0});
 }
 
-Door Door::of(const ochrehub::Settings& settings, std::size_t room, std::uint64_t seed,
+AdmissionController AdmissionController::of(const ochrehub::Settings& settings, std::size_t room, std::uint64_t seed,
               bool bounded) {
     Settings own{{}, {}, {}, room, settings.retry_after ? settings.max_retry_after : Duration{0}, seed, bounded};
     for (const ClassSettings& c : settings.classes) {
@@ -150,16 +150,16 @@
         own.give_up.push_back(c.give_up);
     }
     for (const TenantSettings& t : settings.tenants) own.shares.push_back(t.share);
-    return Door(own);
+    return AdmissionController(own);
 }
 
-std::size_t Door::bytes() const {
+std::size_t AdmissionController::bytes() const {
     return sizeof(*this) - sizeof(weather_) + weather_.bytes() + classes_.capacity() * sizeof(Class) +
            tenants_.capacity() * sizeof(Tenant);
 }
 
 // Between the least and the most by how many other classes are worth less for their time.
-double Door::part(const Class& cls) const {
+double AdmissionController::part(const Class& cls) const {
     auto density = [](const Class& c) { return c.worth / std::max(1.0, c.took_ms); };
     double below = 0;
     for (const Class& other : classes_) below += density(other) < density(cls);
@@ -169,7 +169,7 @@
 
 // Max-min fair: filled up to this tenant's level, by their shares, do all together use the room up? A tenant that has
 // more for a moment than its share, as chance has it, is not beyond it.
-bool Door::beyond_share(const Tenant& own, double room) const {
+bool AdmissionController::beyond_share(const Tenant& own, double room) const {
     double shares = 0, sum = 0;
     for (const Tenant& each : tenants_) shares += each.share;
     double fair = room * own.share / shares;
@@ -180,15 +180,15 @@
     return sum >= room;
 }
 
-Door::Tenant& Door::tenant(const Knock& knock) {
+AdmissionController::Tenant& AdmissionController::tenant(const Knock& knock) {
     return tenants_[knock.tenant == kNone ? tenants_.size() - 1 : std::size_t(knock.tenant)];
 }
 
-std::uint64_t Door::known_as(const Knock& knock) const {
+std::uint64_t AdmissionController::known_as(const Knock& knock) const {
     return knock.who == 0 ? 0 : knock.who * tenants_.size() + std::uint64_t(knock.tenant + 1);
 }
 
-bool Door::may_enter(TimePoint now, const Knock& knock) {
+bool AdmissionController::may_enter(TimePoint now, const Knock& knock) {
     std::uint64_t who = known_as(knock);
     Heed::Comes comes = who != 0 ? heed_.comes(now, who) : Heed::Comes::Unknown;
     weather_.came(now, knock.tenant, knock.repeat);
@@ -216,14 +216,14 @@
     return (knock.repeat && in_turn) || double(open_) < shared || !beyond_share(tenant(knock), shared);
 }
 
-std::optional<Duration> Door::arrive(TimePoint now, const Knock& knock) {
+std::optional<Duration> AdmissionController::arrive(TimePoint now, const Knock& knock) {
     if (!may_enter(now, knock)) return refuse(now, knock);
     ++open_;
     ++tenant(knock).open;
     return std::nullopt;
 }
 
-void Door::leave(TimePoint now, const Knock& knock, bool served, Duration took, Duration server_took) {
+void AdmissionController::leave(TimePoint now, const Knock& knock, bool served, Duration took, Duration server_took) {
     --open_;
     --tenant(knock).open;
     weather_.ended(now, knock.cls, served, took);
@@ -238,11 +238,11 @@
     c.took_ms += (c.took_ms > 0 ? kTookGain : 1) * (took.count() - c.took_ms);
 }
 
-Duration Door::refuse(TimePoint now, const Knock& knock) {
+Duration AdmissionController::refuse(TimePoint now, const Knock& knock) {
     return advise(now, knock, classes_[std::size_t(knock.cls)].give_up);
 }
 
-Duration Door::advise(TimePoint now, const Knock& knock, Duration patience) {
+Duration AdmissionController::advise(TimePoint now, const Knock& knock, Duration patience) {
     weather_.refused(now);
     if (!advises_) return Duration{0};
     double rate = served_ * std::exp(-((now - served_at_) / kServedOver));
@@ -251,7 +251,7 @@
     return back;
 }
 
-Duration Door::turn_away(TimePoint now, const Knock& knock) {
+Duration AdmissionController::turn_away(TimePoint now, const Knock& knock) {
     weather_.came(now, knock.tenant, knock.repeat);
     return advise(now, knock, {});  // nobody has read what it asks for
 }
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -70,13 +70,13 @@
 };
 
 /// What may be open in a node at once. Requests that wait hold their clients' connections: if they may have
-/// them all, newcomers can only be told at the door that there is no room, which closes their connection, and
+/// them all, newcomers can only be told by admission control that there is no room, which closes their connection, and
 /// clients that open another ask again on it. So what is open ends below what clients may hold, and the rest
 /// is refused on its connection, which stays: repeats out of turn first, then first tries of the classes that
 /// are worth the least for their time. Nor is more open than can be answered within a part of a second: what
 /// waits longer only makes all others wait. A tenant may use what others leave, but the last part of the room is for
 /// those that have less open than their share.
-class Door {
+class AdmissionController {
 public:
     struct Settings {
         std::vector<double> worth;  ///< of each class
@@ -87,9 +87,9 @@
         std::uint64_t seed = 0;
         bool bounded = true;  ///< false: for experiments, everything enters
     };
-    explicit Door(const Settings& settings);
+    explicit AdmissionController(const Settings& settings);
     /// `room`: as in Settings; the rest is as the module is told.
-    static Door of(const ochrehub::Settings& settings, std::size_t room, std::uint64_t seed,
+    static AdmissionController of(const ochrehub::Settings& settings, std::size_t room, std::uint64_t seed,
                    bool bounded = true);
 
     struct Knock {
--- a/src/admission/weather.h
+++ b/src/admission/weather.h
@@ -1,6 +1,6 @@
 // What the weather is at a node, by what it can know by itself: what comes, how much of that is asked again, what is
 // refused, how soon servers answer against what they took before, and which servers leave and come. No clock, no
-// sockets; every call says what time it is. Nothing is decided by what it calls: a door that tightened because a storm
+// sockets; every call says what time it is. Nothing is decided by what it calls: an admission controller that tightened because a storm
 // is called would make the refusals that call the next one.
 #pragma once
 
@@ -24,7 +24,7 @@
     struct Signs {
         double tries = 0;     ///< a second
         double repeats = 0;   ///< part of them: marked, or on a connection whose last request was refused
-        double refused = 0;   ///< part of them: by the door, the module or for want of a connection
+        double refused = 0;   ///< part of them: by admission control, the module or for want of a connection
         double late = 0;      ///< part of what ended: after more than half of the time that its client waits
         double served = 0;    ///< a second
         double capacity = 0;  ///< the most that were served a second, of late
--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -90,7 +90,7 @@
         if (!unread_ && front_.pool().scarce()) {  // many requests half sent must not cost more than there is
             close_after_ = true;
             if (!begun_) heard_ = Steady::now();  // nothing of it has been read: the figures time it from here
-            return reject_unread(503, retry_after(front_.door().turn_away(front_.engine().now(), {})));
+            return reject_unread(503, retry_after(front_.admission().turn_away(front_.engine().now(), {})));
         }
         if (!unread_) unread_ = front_.pool().take();
         Received got = receive(socket_, unread_.free_space(), unread_.room());
@@ -241,13 +241,13 @@
     entered_ = front_.engine().now();
     knock_ = {reading.call.request.class_index, reading.call.request.tenant, reading.call.request.client_repeat,
               number_};
-    if (overloaded_) return refuse(front_.door().turn_away(entered_, knock_));
+    if (overloaded_) return refuse(front_.admission().turn_away(entered_, knock_));
     if (reading.status != 200) {
         close_after_ = true;
         return reject(reading.status, reading.status == 405 ? "Allow: " + reading.allow + "\r\n" : "");
     }
     if (entered_ - came_ >= front_.lag().most(reading.patience) && reading.patience.count() > 0)
-        return refuse(front_.door().turn_away(entered_, knock_));
+        return refuse(front_.admission().turn_away(entered_, knock_));
     if (!front_.manner().makes_trace_ids) {
         trace_ = request->header("X-Trace-Id");
         if (!front_.claim(trace_)) {
@@ -259,7 +259,7 @@
         request->headers.emplace_back("X-Trace-Id", front_.calls().make_trace_id());
     }
     head_only_ = request->method == "HEAD";
-    if (auto back = front_.door().arrive(entered_, knock_)) {
+    if (auto back = front_.admission().arrive(entered_, knock_)) {
         if (!trace_.empty()) front_.release(trace_);
         return refuse(*back);
     }
@@ -330,7 +330,7 @@
     if (!trace_.empty()) front_.release(trace_);
     front_.engine().depart(request_);
     TimePoint now = front_.engine().now();
-    front_.door().leave(now, knock_, false, now - entered_);
+    front_.admission().leave(now, knock_, false, now - entered_);
 }
 
 /// The answer in hand ends the connection. A node that stops ends each behind its answer; what it has read of a next
@@ -345,8 +345,8 @@
     socket_.cancel(ignored);  // the watch
     if (!trace_.empty()) front_.release(trace_);
     TimePoint now = front_.engine().now();
-    front_.door().leave(now, knock_, reply.verdict == Verdict::Served, now - entered_, reply.server_took);
-    if (reply.verdict == Verdict::Refused) return refuse(front_.door().refuse(now, knock_));
+    front_.admission().leave(now, knock_, reply.verdict == Verdict::Served, now - entered_, reply.server_took);
+    if (reply.verdict == Verdict::Refused) return refuse(front_.admission().refuse(now, knock_));
     if (reply.verdict == Verdict::Failed) return reject(reply.timed_out ? 504 : 502);
     pass_on(std::static_pointer_cast<const HttpMessage>(std::move(reply.message)));
 }
@@ -535,7 +535,7 @@
 void ClientSession::close() {
     if (state_ == State::Reading && begun_) {
         close_after_ = true;
-        reject_unread(503, retry_after(front_.door().turn_away(front_.engine().now(), {})));
+        reject_unread(503, retry_after(front_.admission().turn_away(front_.engine().now(), {})));
     }
     if (state_ == State::Lingering) drop_unread();
     end();
--- a/src/http/client_session.h
+++ b/src/http/client_session.h
@@ -105,7 +105,7 @@
     Duration patience_{};
     int class_ = kNone, tenant_ = kNone;
     std::uint64_t number_;
-    Door::Knock knock_;  // of the request that the front's door let in
+    AdmissionController::Knock knock_;  // of the request that admission let in
     TimePoint entered_{};
     // The rules that this request came under count for its answer too, with its class and path.
     std::shared_ptr<const rewrite::Rewrites> rewrites_;
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -50,7 +50,7 @@
       acceptor_(io),
       retry_(io),
       sweep_(io),
-      door_(Door::of(settings, budget.asked, seed)),
+      admission_(AdmissionController::of(settings, budget.asked, seed)),
       sessions_(budget),
       shared_(inherited.has_value()) {
     if (shared_) {
@@ -161,7 +161,7 @@
 
 void Front::take(asio::ip::tcp::socket socket) {
     bool over = sessions_.over();
-    door_.connection_opened(engine_.now());
+    admission_.connection_opened(engine_.now());
     error_code ignored;  // one that came before this process had the listener has nothing of it
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     auto session = std::make_shared<ClientSession>(std::move(socket), *this, over, ++connections_);
@@ -186,7 +186,7 @@
     });
     for (const auto& session : late) session->time_out();
     accept_if_full();
-    if (auto change = door_.look(engine_.now())) tell(*change);
+    if (auto change = admission_.look(engine_.now())) tell(*change);
     sweep_.expires_after(kSweep);
     sweep_.async_wait([this](error_code stopped) {
         if (!stopped) sweep();
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -75,9 +75,9 @@
     const std::shared_ptr<const rewrite::Rewrites>& rewrites() const { return rewrites_; }
     const std::string& class_name(int index) const { return names_.classes[std::size_t(index)]; }
 
-    Door& door() { return door_; }
+    AdmissionController& admission() { return admission_; }
     /// The list as the engine hears it.
-    void listed(const Listing& listing) { door_.listed(engine_.now(), listing.update); }
+    void listed(const Listing& listing) { admission_.listed(engine_.now(), listing.update); }
 
     /// The ids of the requests that are open here: another with the same would be taken for a second copy.
     bool claim(const std::string& id) { return open_ids_.insert(id).second; }
@@ -115,7 +115,7 @@
     boost::asio::ip::tcp protocol_;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer retry_, sweep_;
-    Door door_;
+    AdmissionController admission_;
     std::uint64_t connections_ = 0;  // that ever came
     Table sessions_;
     std::unordered_set<std::string> open_ids_;
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -18,18 +18,18 @@
     return TimePoint{Duration{1e6 + ms}};
 }
 
-Door::Settings settings(std::size_t room = 100, double most_advice = 1200) {
+AdmissionController::Settings settings(std::size_t room = 100, double most_advice = 1200) {
     return {{5, 3, 8, 3}, {}, {}, room, Duration{most_advice}, 7, true};
 }
 
-/// Lets one in and out again, so that the door knows that so many a second are served, each in its class's
+/// Lets one in and out again, so that admission control knows that so many a second are served, each in its class's
 /// time.
-void serve(Door& door, double from, double to, double per_s) {
+void serve(AdmissionController& admission, double from, double to, double per_s) {
     const std::vector<double> took = {50, 60, 200, 200};
     int cls = 0;
     for (double t = from; t < to; t += 1000 / per_s, cls = (cls + 1) % 4) {
-        ASSERT_FALSE(door.arrive(at(t), {cls, kNone, false}));
-        door.leave(at(t), {cls}, true, Duration{took[std::size_t(cls)]});
+        ASSERT_FALSE(admission.arrive(at(t), {cls, kNone, false}));
+        admission.leave(at(t), {cls}, true, Duration{took[std::size_t(cls)]});
     }
 }
 
@@ -69,27 +69,27 @@
     EXPECT_EQ(appointments.booked(at(10000)), 0u);
 }
 
-// Requests that waited held all connections that clients may have; whoever came then was told at the door
+// Requests that waited held all connections that clients may have; whoever came then was told by admission control
 // that there is no room, its connection closed, and asked again on another: 4,000 of them in 30 s where 450
 // are needed.
-TEST(Door, WhatIsOpenEndsBelowWhatClientsMayHold) {
-    Door door(settings(100));
-    serve(door, 0, 5000, 1000);
+TEST(AdmissionController, WhatIsOpenEndsBelowWhatClientsMayHold) {
+    AdmissionController admission(settings(100));
+    serve(admission, 0, 5000, 1000);
     int entered = 0, refused = 0;
-    for (int i = 0; i < 1000; ++i) (door.arrive(at(5000 + i * 0.1), {i % 4, kNone, false}) ? refused : entered) += 1;
+    for (int i = 0; i < 1000; ++i) (admission.arrive(at(5000 + i * 0.1), {i % 4, kNone, false}) ? refused : entered) += 1;
     EXPECT_EQ(entered, 90);
     EXPECT_EQ(refused, 910);
-    EXPECT_EQ(door.open(), 90u);
+    EXPECT_EQ(admission.open(), 90u);
 }
 
-TEST(Door, RepeatsOutOfTurnGoFirstThenWhatIsWorthTheLeastForItsTime) {
-    Door door(settings(100));
-    serve(door, 0, 5000, 1000);
+TEST(AdmissionController, RepeatsOutOfTurnGoFirstThenWhatIsWorthTheLeastForItsTime) {
+    AdmissionController admission(settings(100));
+    serve(admission, 0, 5000, 1000);
     std::vector<int> kinds;  // of class 0 to 3, and repeats as 4
     std::map<int, std::size_t> shut;
     for (int i = 0; i < 1000; ++i)
         for (int kind : {4, 3, 1, 2, 0})
-            if (door.arrive(at(5000), {kind % 4, kNone, kind == 4}) && !shut.contains(kind)) shut[kind] = door.open();
+            if (admission.arrive(at(5000), {kind % 4, kNone, kind == 4}) && !shut.contains(kind)) shut[kind] = admission.open();
     // Worth for the time: 0.1, 0.05, 0.04, 0.015.
     EXPECT_EQ(shut[4], 50u);
     EXPECT_EQ(shut[3], 70u);
@@ -98,27 +98,27 @@
     EXPECT_EQ(shut[0], 90u);
 }
 
-TEST(Door, ARepeatThatComesWhenItWasToldToEntersLikeAFirstTry) {
-    Door door(settings(100));
-    serve(door, 0, 5000, 1000);
+TEST(AdmissionController, ARepeatThatComesWhenItWasToldToEntersLikeAFirstTry) {
+    AdmissionController admission(settings(100));
+    serve(admission, 0, 5000, 1000);
     int open = 0;
-    while (!door.arrive(at(5000), {3, kNone, false})) ++open;
-    auto back = door.arrive(at(5000), {3, kNone, false});
+    while (!admission.arrive(at(5000), {3, kNone, false})) ++open;
+    auto back = admission.arrive(at(5000), {3, kNone, false});
     ASSERT_TRUE(back);
     // 55 open: closed to repeats out of turn.
-    for (int i = 0; i < 15; ++i) door.leave(at(5001), {3}, false, Duration{1});
-    EXPECT_TRUE(door.arrive(at(5002), {0, kNone, true}));
-    EXPECT_FALSE(door.arrive(at(5000 + back->count()), {0, kNone, true}));
+    for (int i = 0; i < 15; ++i) admission.leave(at(5001), {3}, false, Duration{1});
+    EXPECT_TRUE(admission.arrive(at(5002), {0, kNone, true}));
+    EXPECT_FALSE(admission.arrive(at(5000 + back->count()), {0, kNone, true}));
 }
 
 // In a brownout less is served; if what may be open followed that down, less would be served for it.
-TEST(Door, WhatMayBeOpenComesOfTheMostThatWasServedAndNotOfWhatIs) {
-    Door door(settings(100000));
-    serve(door, 0, 10000, 500);
+TEST(AdmissionController, WhatMayBeOpenComesOfTheMostThatWasServedAndNotOfWhatIs) {
+    AdmissionController admission(settings(100000));
+    serve(admission, 0, 10000, 500);
     auto open_at = [&](double ms) {
         int open = 0;
-        while (!door.arrive(at(ms), {0, kNone, false})) ++open;
-        for (int i = 0; i < open; ++i) door.leave(at(ms), {0}, false, Duration{1});
+        while (!admission.arrive(at(ms), {0, kNone, false})) ++open;
+        for (int i = 0; i < open; ++i) admission.leave(at(ms), {0}, false, Duration{1});
         return open;
     };
     int before = open_at(10000);
@@ -129,18 +129,18 @@
 
 // What a server takes for each stands open by itself. Where 400 ms were less than that, most were refused for no need, the
 // rate fell with what was let in, and the room with it.
-TEST(Door, LongUsualTimesNeedRoomForWhatStandsThereByItself) {
+TEST(AdmissionController, LongUsualTimesNeedRoomForWhatStandsThereByItself) {
     for (double took : {50.0, 200.0, 300.0, 400.0, 900.0, 2500.0}) {
-        Door door({{5, 3, 8, 3}, std::vector<Duration>(4, Duration{10'000}), {}, 100'000, Duration{1200}, 7, true});
+        AdmissionController admission({{5, 3, 8, 3}, std::vector<Duration>(4, Duration{10'000}), {}, 100'000, Duration{1200}, 7, true});
         std::multimap<double, int> open;
         int asked = 0, refused = 0, cls = 0;
         for (double t = 0; t < 60'000; t += 5, cls = (cls + 1) % 4) {
             while (!open.empty() && open.begin()->first <= t) {
-                door.leave(at(open.begin()->first), {open.begin()->second}, true, Duration{took}, Duration{took});
+                admission.leave(at(open.begin()->first), {open.begin()->second}, true, Duration{took}, Duration{took});
                 open.erase(open.begin());
             }
-            door.look(at(t));
-            bool enters = !door.arrive(at(t), {cls});
+            admission.look(at(t));
+            bool enters = !admission.arrive(at(t), {cls});
             if (enters) open.emplace(t + took, cls);
             if (t >= 5000 + 4 * took) ++asked, refused += !enters;
         }
@@ -149,140 +149,140 @@
 }
 
 // ... and servers that slow down for a while get no more than before.
-TEST(Door, ASlowSpellIsNotTakenForWhatAnswersTakeUsually) {
-    Door door({{5, 3, 8, 3}, std::vector<Duration>(4, Duration{2000}), {}, 100'000, Duration{1200}, 7, true});
+TEST(AdmissionController, ASlowSpellIsNotTakenForWhatAnswersTakeUsually) {
+    AdmissionController admission({{5, 3, 8, 3}, std::vector<Duration>(4, Duration{2000}), {}, 100'000, Duration{1200}, 7, true});
     std::multimap<double, int> open;
     std::size_t most = 0;
     int cls = 0;
     for (double t = 0; t < 40'000; t += 2, cls = (cls + 1) % 4) {  // 500 a second
         double took = t < 10'000 ? 60 : 1200;
         while (!open.empty() && open.begin()->first <= t) {
-            door.leave(at(open.begin()->first), {open.begin()->second}, true, Duration{took}, Duration{took});
+            admission.leave(at(open.begin()->first), {open.begin()->second}, true, Duration{took}, Duration{took});
             open.erase(open.begin());
         }
-        door.look(at(t));
-        if (!door.arrive(at(t), {cls})) open.emplace(t + took, cls);
+        admission.look(at(t));
+        if (!admission.arrive(at(t), {cls})) open.emplace(t + took, cls);
         if (t < 20'000) most = std::max(most, open.size());
     }
     EXPECT_LT(most, 0.9 * 0.4 * 500 + 10);
 }
 
 // A node that has just started, or that stood still, has many requests at once and knows no rate yet.
-TEST(Door, ABurstBehindAStartEnters) {
-    Door door(settings(300));
+TEST(AdmissionController, ABurstBehindAStartEnters) {
+    AdmissionController admission(settings(300));
     int entered = 0;
-    for (int i = 0; i < 200; ++i) entered += !door.arrive(at(i / 4.0), {i % 4, kNone, false}).has_value();
+    for (int i = 0; i < 200; ++i) entered += !admission.arrive(at(i / 4.0), {i % 4, kNone, false}).has_value();
     EXPECT_EQ(entered, 200);
-    for (int i = 0; i < 100; ++i) door.leave(at(100 + i), {i % 4}, true, Duration{90});
+    for (int i = 0; i < 100; ++i) admission.leave(at(100 + i), {i % 4}, true, Duration{90});
     // Once it has watched for a while it holds to what it has seen served.
-    for (int i = 0; i < 100; ++i) door.leave(at(2500 + i), {i % 4}, true, Duration{90});
+    for (int i = 0; i < 100; ++i) admission.leave(at(2500 + i), {i % 4}, true, Duration{90});
     int later = 0;
-    for (int i = 0; i < 200; ++i) later += !door.arrive(at(2700), {i % 4, kNone, false}).has_value();
+    for (int i = 0; i < 200; ++i) later += !admission.arrive(at(2700), {i % 4, kNone, false}).has_value();
     EXPECT_LT(later, 60);
     EXPECT_GT(later, 10);
 }
 
-TEST(Door, GivesNoAdviceWhereNoneIsHeeded) {
-    Door door(settings(10, 0));
-    while (!door.arrive(at(0), {0, kNone, false})) continue;
-    EXPECT_EQ(door.refuse(at(0), {}).count(), 0);
+TEST(AdmissionController, GivesNoAdviceWhereNoneIsHeeded) {
+    AdmissionController admission(settings(10, 0));
+    while (!admission.arrive(at(0), {0, kNone, false})) continue;
+    EXPECT_EQ(admission.refuse(at(0), {}).count(), 0);
 }
 
 // Told to come back when they had given up.
-TEST(Door, AdviceIsWithinTheTimeOfClientsThatWaitBriefly) {
-    Door::Settings set = settings(100);
+TEST(AdmissionController, AdviceIsWithinTheTimeOfClientsThatWaitBriefly) {
+    AdmissionController::Settings set = settings(100);
     set.give_up = {Duration{200}, Duration{400}, Duration{500}, Duration{2000}};
     const std::vector<std::pair<double, double>> span = {{50, 150}, {100, 300}, {250, 1050}, {250, 1050}};
     for (int cls = 0; cls < 4; ++cls) {
-        Door door(set);
+        AdmissionController admission(set);
         double least = 1e9, most = 0;
         for (int i = 0; i < 100; ++i) {
             double t = 3000 * i + 1000;
-            serve(door, t - 1000, t, 100);
-            double back = door.refuse(at(t), {cls}).count();
+            serve(admission, t - 1000, t, 100);
+            double back = admission.refuse(at(t), {cls}).count();
             least = std::min(least, back), most = std::max(most, back);
-            EXPECT_TRUE(door.arrive(at(t + back), {cls, kNone, true}) == std::nullopt) << "it has a seat";
-            door.leave(at(t + back + 20), {cls}, true, Duration{20});
+            EXPECT_TRUE(admission.arrive(at(t + back), {cls, kNone, true}) == std::nullopt) << "it has a seat";
+            admission.leave(at(t + back + 20), {cls}, true, Duration{20});
         }
         EXPECT_NEAR(least, span[std::size_t(cls)].first, 40) << cls;
         EXPECT_NEAR(most, span[std::size_t(cls)].second, 40) << cls;
     }
 }
 
-Door shared_door(std::size_t room = 100) {
-    return Door({{5, 3, 8, 3}, {}, {0.5, 0.25, 0.25}, room, Duration{1200}, 7, true});
+AdmissionController shared_admission(std::size_t room = 100) {
+    return AdmissionController({{5, 3, 8, 3}, {}, {0.5, 0.25, 0.25}, room, Duration{1200}, 7, true});
 }
 
 /// Asks for one tenant till it is refused; how many entered.
-int fill(Door& door, double ms, int tenant, int cls = 3) {
+int fill(AdmissionController& admission, double ms, int tenant, int cls = 3) {
     int entered = 0;
-    while (!door.arrive(at(ms), {cls, tenant})) ++entered;
+    while (!admission.arrive(at(ms), {cls, tenant})) ++entered;
     return entered;
 }
 
-TEST(Door, ATenantInTroubleLeavesTheOthersRoom) {
-    Door door = shared_door();
-    serve(door, 0, 5000, 1000);
+TEST(AdmissionController, ATenantInTroubleLeavesTheOthersRoom) {
+    AdmissionController admission = shared_admission();
+    serve(admission, 0, 5000, 1000);
     // Of the 70 for its class one alone may use what nobody else does, but not the last of it.
-    int alone = fill(door, 5000, 1);
+    int alone = fill(admission, 5000, 1);
     EXPECT_GT(alone, 60);
     EXPECT_LT(alone, 70);
-    EXPECT_EQ(alone + fill(door, 5000, 0), 70) << "what is within its share has the rest";
+    EXPECT_EQ(alone + fill(admission, 5000, 0), 70) << "what is within its share has the rest";
     // As they leave, the one beyond its share does not come back in their place.
-    for (int i = 0; i < 20; ++i) door.leave(at(5001), {3, 1}, false, Duration{1});
-    EXPECT_LT(fill(door, 5001, 1), 18);
-    EXPECT_GT(fill(door, 5001, 2), 2);
-    for (int i = 0; i < 20; ++i) door.leave(at(5002), {3, 1}, false, Duration{1});
-    EXPECT_EQ(fill(door, 5002, 2), 20) << "a share of its own, unlike the other's third";
+    for (int i = 0; i < 20; ++i) admission.leave(at(5001), {3, 1}, false, Duration{1});
+    EXPECT_LT(fill(admission, 5001, 1), 18);
+    EXPECT_GT(fill(admission, 5001, 2), 2);
+    for (int i = 0; i < 20; ++i) admission.leave(at(5002), {3, 1}, false, Duration{1});
+    EXPECT_EQ(fill(admission, 5002, 2), 20) << "a share of its own, unlike the other's third";
 }
 
-TEST(Door, ATenantThatIsAboveItsShareByChanceIsNotBeyondIt) {
-    Door door = shared_door();
-    serve(door, 0, 5000, 1000);
-    for (int i = 0; i < 30; ++i) ASSERT_FALSE(door.arrive(at(5000), {3, 0}));
-    for (int i = 0; i < 15; ++i) ASSERT_FALSE(door.arrive(at(5000), {3, 1}));
-    for (int i = 0; i < 15; ++i) ASSERT_FALSE(door.arrive(at(5000), {3, 2}));
-    EXPECT_FALSE(door.arrive(at(5000), {3, 1})) << "15 of 60 is a quarter";
-    EXPECT_FALSE(door.arrive(at(5000), {3, kNone})) << "one of no tenant has a share too";
+TEST(AdmissionController, ATenantThatIsAboveItsShareByChanceIsNotBeyondIt) {
+    AdmissionController admission = shared_admission();
+    serve(admission, 0, 5000, 1000);
+    for (int i = 0; i < 30; ++i) ASSERT_FALSE(admission.arrive(at(5000), {3, 0}));
+    for (int i = 0; i < 15; ++i) ASSERT_FALSE(admission.arrive(at(5000), {3, 1}));
+    for (int i = 0; i < 15; ++i) ASSERT_FALSE(admission.arrive(at(5000), {3, 2}));
+    EXPECT_FALSE(admission.arrive(at(5000), {3, 1})) << "15 of 60 is a quarter";
+    EXPECT_FALSE(admission.arrive(at(5000), {3, kNone})) << "one of no tenant has a share too";
 }
 
-TEST(Door, WhoComesAsToldKeepsItsTurnThoughItsTenantIsBeyondItsShare) {
-    Door door = shared_door();
-    serve(door, 0, 5000, 1000);
-    fill(door, 5000, 1);
-    auto back = door.arrive(at(5000), {3, 1, false, 77});
+TEST(AdmissionController, WhoComesAsToldKeepsItsTurnThoughItsTenantIsBeyondItsShare) {
+    AdmissionController admission = shared_admission();
+    serve(admission, 0, 5000, 1000);
+    fill(admission, 5000, 1);
+    auto back = admission.arrive(at(5000), {3, 1, false, 77});
     ASSERT_TRUE(back);
-    EXPECT_TRUE(door.arrive(at(5000 + back->count()), {3, 1, false, 78})) << "a first try of the same tenant";
-    EXPECT_FALSE(door.arrive(at(5000 + back->count()), {3, 1, true, 77}));
+    EXPECT_TRUE(admission.arrive(at(5000 + back->count()), {3, 1, false, 78})) << "a first try of the same tenant";
+    EXPECT_FALSE(admission.arrive(at(5000 + back->count()), {3, 1, true, 77}));
 }
 
 // Those who ask again at once took the seats of whoever was due just then.
-TEST(Door, WhoComesTooEarlyTakesNobodysSeat) {
+TEST(AdmissionController, WhoComesTooEarlyTakesNobodysSeat) {
     for (bool known : {false, true}) {
-        Door door(settings(100));
-        serve(door, 0, 5000, 1000);
-        while (!door.arrive(at(5000), {0})) continue;
-        double due = 5000 + door.refuse(at(5000), {3, kNone, false, 1}).count();
-        for (int i = 0; i < 25; ++i) door.leave(at(5001), {0}, false, Duration{1});  // 65 open
+        AdmissionController admission(settings(100));
+        serve(admission, 0, 5000, 1000);
+        while (!admission.arrive(at(5000), {0})) continue;
+        double due = 5000 + admission.refuse(at(5000), {3, kNone, false, 1}).count();
+        for (int i = 0; i < 25; ++i) admission.leave(at(5001), {0}, false, Duration{1});  // 65 open
         // The other is told later, and comes when the first one is due.
         double later = due;
-        while (later < due + 200) later = due - 50 + door.refuse(at(due - 50), {3, kNone, false, 2}).count();
-        EXPECT_EQ(door.arrive(at(due), {3, kNone, true, known ? 2ul : 0ul}).has_value(), known);
-        EXPECT_EQ(door.arrive(at(due + 1), {3, kNone, true, known ? 1ul : 0ul}).has_value(), !known);
+        while (later < due + 200) later = due - 50 + admission.refuse(at(due - 50), {3, kNone, false, 2}).count();
+        EXPECT_EQ(admission.arrive(at(due), {3, kNone, true, known ? 2ul : 0ul}).has_value(), known);
+        EXPECT_EQ(admission.arrive(at(due + 1), {3, kNone, true, known ? 1ul : 0ul}).has_value(), !known);
     }
 }
 
-TEST(Door, WhoComesOutOfTurnAgainAndAgainIsRefusedFirstAndNobodyElse) {
-    Door door(settings(100));
-    serve(door, 0, 5000, 1000);
-    for (int i = 0; i < 40; ++i) ASSERT_FALSE(door.arrive(at(5000), {0}));  // below what repeats may have
-    door.refuse(at(5000), {3, 0, false, 1});
-    EXPECT_FALSE(door.arrive(at(5001), {3, 0, true, 1})) << "once";
-    door.refuse(at(5002), {3, 0, false, 1});
-    EXPECT_TRUE(door.arrive(at(5003), {3, 0, true, 1})) << "again";
-    EXPECT_FALSE(door.arrive(at(5004), {3, 0, true, 2})) << "another connection";
-    EXPECT_FALSE(door.arrive(at(5004), {3, 0, false, 1})) << "its first tries are as good as any";
-    EXPECT_FALSE(door.arrive(at(30000), {3, 0, true, 1})) << "forgotten";
+TEST(AdmissionController, WhoComesOutOfTurnAgainAndAgainIsRefusedFirstAndNobodyElse) {
+    AdmissionController admission(settings(100));
+    serve(admission, 0, 5000, 1000);
+    for (int i = 0; i < 40; ++i) ASSERT_FALSE(admission.arrive(at(5000), {0}));  // below what repeats may have
+    admission.refuse(at(5000), {3, 0, false, 1});
+    EXPECT_FALSE(admission.arrive(at(5001), {3, 0, true, 1})) << "once";
+    admission.refuse(at(5002), {3, 0, false, 1});
+    EXPECT_TRUE(admission.arrive(at(5003), {3, 0, true, 1})) << "again";
+    EXPECT_FALSE(admission.arrive(at(5004), {3, 0, true, 2})) << "another connection";
+    EXPECT_FALSE(admission.arrive(at(5004), {3, 0, false, 1})) << "its first tries are as good as any";
+    EXPECT_FALSE(admission.arrive(at(30000), {3, 0, true, 1})) << "forgotten";
 }
 
 TEST(Heed, OneThatMendsItsWaysIsForgiven) {
@@ -301,53 +301,53 @@
     EXPECT_EQ(heed.comes(at(1500), 5), Heed::Comes::Unknown) << "too late";
 }
 
-// A million clients, each told and some of them deaf: what the door holds is what it held before they came.
-TEST(Door, AMillionClientsCostItNoMemory) {
-    Door door = shared_door(300);
-    serve(door, 0, 3000, 300);
-    std::size_t bytes = door.bytes(), before = allocations();
+// A million clients, each told and some of them deaf: what admission control holds is what it held before they came.
+TEST(AdmissionController, AMillionClientsCostItNoMemory) {
+    AdmissionController admission = shared_admission(300);
+    serve(admission, 0, 3000, 300);
+    std::size_t bytes = admission.bytes(), before = allocations();
     double now = 3000;
     std::size_t refused = 0;
     for (std::uint64_t who = 1; who <= 1000000; ++who) {
         now += 0.5;
-        door.connection_opened(at(now));
-        Door::Knock knock{int(who % 4), int(who % 4) - 1, who % 3 == 0, who};
-        refused += door.arrive(at(now), knock).has_value();
-        if (door.open() > 200) door.leave(at(now), {knock.cls, int(who % 3)}, who % 2 == 0, Duration{60}, Duration{40});
-        if (who % 64 == 0) door.look(at(now));
+        admission.connection_opened(at(now));
+        AdmissionController::Knock knock{int(who % 4), int(who % 4) - 1, who % 3 == 0, who};
+        refused += admission.arrive(at(now), knock).has_value();
+        if (admission.open() > 200) admission.leave(at(now), {knock.cls, int(who % 3)}, who % 2 == 0, Duration{60}, Duration{40});
+        if (who % 64 == 0) admission.look(at(now));
     }
     EXPECT_GT(refused, 300000u);
     EXPECT_EQ(allocations(), before);
-    EXPECT_EQ(door.bytes(), bytes);
+    EXPECT_EQ(admission.bytes(), bytes);
     EXPECT_LT(bytes, 45000u);
 }
 
 // Whatever comes: as many are open as entered and did not leave, nobody is refused while little is open, and
 // advice is heeded advice.
-TEST(Door, HoldsWhateverComes) {
+TEST(AdmissionController, HoldsWhateverComes) {
     EXPECT_TRUE(rc::check([](std::vector<std::uint32_t> events) {
-        Door door(settings(40));
+        AdmissionController admission(settings(40));
         std::vector<int> open;  // classes
         double now = 0;
         for (std::uint32_t event : events) {
             now += event >> 8 & 0xff;
             int cls = int(event % 4);
             if (event & 0x10 && !open.empty()) {
-                door.leave(at(now), {open.back()}, event & 0x20, Duration{double(event >> 24)});
+                admission.leave(at(now), {open.back()}, event & 0x20, Duration{double(event >> 24)});
                 open.pop_back();
             } else {
                 bool repeat = event & 0x40;
-                auto back = door.arrive(at(now), {cls, kNone, repeat});
+                auto back = admission.arrive(at(now), {cls, kNone, repeat});
                 if (!back) open.push_back(cls);
                 if (back) RC_ASSERT(open.size() >= 12u);
                 if (back) RC_ASSERT(back->count() > 0 && back->count() <= 1200);
             }
-            RC_ASSERT(door.open() == open.size());
+            RC_ASSERT(admission.open() == open.size());
             RC_ASSERT(open.size() <= 40u);
         }
         // Free capacity: whoever comes then enters.
-        while (!open.empty()) door.leave(at(now), {open.back()}, false, Duration{1}), open.pop_back();
-        for (int cls = 0; cls < 4; ++cls) RC_ASSERT(!door.arrive(at(now), {cls, kNone, true}));
+        while (!open.empty()) admission.leave(at(now), {open.back()}, false, Duration{1}), open.pop_back();
+        for (int cls = 0; cls < 4; ++cls) RC_ASSERT(!admission.arrive(at(now), {cls, kNone, true}));
     }));
 }
 
@@ -373,7 +373,7 @@
     }));
 }
 
-static_assert(sizeof(Door) < 45000, "its memory is fixed, but for one entry a class");
+static_assert(sizeof(AdmissionController) < 45000, "its memory is fixed, but for one entry a class");
 
 }  // namespace
 }  // namespace ochrehub
