Rename Appointments to RetryAfterSchedule

Need: names follow the standard terms of the field. Identifiers and their mentions alone; nothing acts otherwise.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -31,7 +31,7 @@
 
 }  // namespace
 
-void Appointments::advance(TimePoint now) {
+void RetryAfterSchedule::advance(TimePoint now) {
     std::uint64_t slot = slot_of(now), keep = slot > kLate ? slot - kLate : 0;
     std::uint64_t left = std::min<std::uint64_t>(keep > from_ ? keep - from_ : 0, kSlots);
     for (; left > 0; --left) {
@@ -42,7 +42,7 @@
     from_ = std::max(from_, keep);
 }
 
-Duration Appointments::give(TimePoint now, double rate, Duration patience) {
+Duration RetryAfterSchedule::give(TimePoint now, double rate, Duration patience) {
     if (most_.count() <= 0) return Duration{0};
     advance(now);
     bool brief = patience.count() > 0 && patience < 2 * kSoonest;
@@ -68,7 +68,7 @@
     return best;
 }
 
-bool Appointments::keep(TimePoint now) {
+bool RetryAfterSchedule::keep(TimePoint now) {
     advance(now);
     // Oldest first: those behind may still be on time.
     for (std::uint64_t slot = from_; slot <= slot_of(now) + kEarly; ++slot) {
@@ -81,7 +81,7 @@
     return false;
 }
 
-std::size_t Appointments::booked(TimePoint now) {
+std::size_t RetryAfterSchedule::booked(TimePoint now) {
     advance(now);
     return booked_;
 }
@@ -127,7 +127,7 @@
     : room_(double(std::max<std::size_t>(settings.room, 1))),
       bounded_(settings.bounded),
       advises_(settings.most_advice.count() > 0),
-      appointments_(settings.most_advice, settings.seed),
+      retry_after_(settings.most_advice, settings.seed),
       weather_([&] {
           std::vector<Duration> give_up = settings.give_up;
           give_up.resize(settings.worth.size(), Duration{1000});
@@ -195,7 +195,7 @@
     // One that is known to come too early takes nobody's seat.
     bool in_turn = !knock.repeat;
     if (knock.repeat && comes != Heed::Comes::Early)
-        in_turn = appointments_.keep(now) || comes == Heed::Comes::OnTime;
+        in_turn = retry_after_.keep(now) || comes == Heed::Comes::OnTime;
     double own = part(classes_[std::size_t(knock.cls)]), part = own;
     if (!in_turn) part = who != 0 && heed_.strikes(now, who) >= kDeaf ? kRoomDeaf : kRoomRepeats;
     // Of the most and not of what is served now: that would fall for its own fall, and never rise above what
@@ -246,7 +246,7 @@
     weather_.refused(now);
     if (!advises_) return Duration{0};
     double rate = served_ * std::exp(-((now - served_at_) / kServedOver));
-    Duration back = appointments_.give(now, kReturnsShare * rate, patience);
+    Duration back = retry_after_.give(now, kReturnsShare * rate, patience);
     if (std::uint64_t who = known_as(knock)) heed_.told(now, who, back);
     return back;
 }
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -19,12 +19,12 @@
 /// When clients that are refused should come back. Each is given the emptiest of a few moments, drawn in a
 /// window that is as long as those who are already to come need at the rate the tier takes, so that they come
 /// spread out, and no two crowds are told one moment. Memory: a fixed ring, whatever comes.
-class Appointments {
+class RetryAfterSchedule {
 public:
     static constexpr Duration kSlot{25};
     static constexpr std::size_t kSlots = 2048;  // 51.2 s; longer advice is cut to that
 
-    Appointments(Duration most, std::uint64_t seed) : most_(most), random_(seed) {}
+    RetryAfterSchedule(Duration most, std::uint64_t seed) : most_(most), random_(seed) {}
 
     /// `rate`: returns a second that the tier can take; it may be zero. `patience`: how long the client waits over all
     /// its tries; zero: not known.
@@ -137,7 +137,7 @@
     double room_;
     std::size_t open_ = 0;
     bool bounded_, advises_;
-    Appointments appointments_;
+    RetryAfterSchedule retry_after_;
     Heed heed_;
     Weather weather_;
     double served_ = 0;  // a second, smoothed over kServedOver
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -33,11 +33,11 @@
     }
 }
 
-TEST(Appointments, ACrowdThatIsRefusedAtOneMomentComesBackSpreadOut) {
-    Appointments appointments(Duration{1200}, 3);
+TEST(RetryAfterSchedule, ACrowdThatIsRefusedAtOneMomentComesBackSpreadOut) {
+    RetryAfterSchedule retry_after(Duration{1200}, 3);
     std::map<int, int> returns;  // by 100 ms
     for (int i = 0; i < 2000; ++i) {
-        double back = appointments.give(at(0), 100).count();
+        double back = retry_after.give(at(0), 100).count();
         EXPECT_GE(back, 250);
         EXPECT_LE(back, 1200);
         ++returns[int(back / 100)];
@@ -46,27 +46,27 @@
     for (const auto& [step, count] : returns) EXPECT_LT(count, 1.2 * 2000 / 9.5) << step;
 }
 
-TEST(Appointments, TheWindowIsAsLongAsTheCrowdNeedsAndCrowdsDoNotMeet) {
-    Appointments appointments(Duration{30000}, 3);
+TEST(RetryAfterSchedule, TheWindowIsAsLongAsTheCrowdNeedsAndCrowdsDoNotMeet) {
+    RetryAfterSchedule retry_after(Duration{30000}, 3);
     std::map<int, int> returns;  // by s
     for (int i = 0; i < 3000; ++i) {
         double now = i < 1500 ? 0 : 2000;
-        ++returns[int((now + appointments.give(at(now), 200).count()) / 1000)];
+        ++returns[int((now + retry_after.give(at(now), 200).count()) / 1000)];
     }
     for (const auto& [second, count] : returns) EXPECT_LT(count, 1.5 * 200 + 30) << second;
     EXPECT_GT(returns.rbegin()->first, 10);
     EXPECT_LT(returns.rbegin()->first, 25);
 }
 
-TEST(Appointments, WhoComesOnTimeHasASeatAndWhoComesAtOnceHasNone) {
-    Appointments appointments(Duration{1200}, 3);
-    double back = appointments.give(at(0), 100).count();
-    EXPECT_FALSE(appointments.keep(at(1)));
-    EXPECT_TRUE(appointments.keep(at(back + 5)));
-    EXPECT_FALSE(appointments.keep(at(back + 6))) << "one seat, once";
-    back = appointments.give(at(2000), 100).count();
-    EXPECT_FALSE(appointments.keep(at(2000 + back + 400))) << "too late";
-    EXPECT_EQ(appointments.booked(at(10000)), 0u);
+TEST(RetryAfterSchedule, WhoComesOnTimeHasASeatAndWhoComesAtOnceHasNone) {
+    RetryAfterSchedule retry_after(Duration{1200}, 3);
+    double back = retry_after.give(at(0), 100).count();
+    EXPECT_FALSE(retry_after.keep(at(1)));
+    EXPECT_TRUE(retry_after.keep(at(back + 5)));
+    EXPECT_FALSE(retry_after.keep(at(back + 6))) << "one seat, once";
+    back = retry_after.give(at(2000), 100).count();
+    EXPECT_FALSE(retry_after.keep(at(2000 + back + 400))) << "too late";
+    EXPECT_EQ(retry_after.booked(at(10000)), 0u);
 }
 
 // Requests that waited held all connections that clients may have; whoever came then was told by admission control
@@ -352,24 +352,24 @@
 }
 
 // Every seat that was given is taken once or passes, whoever asks.
-TEST(Appointments, SeatsAreKeptCount) {
+TEST(RetryAfterSchedule, SeatsAreKeptCount) {
     EXPECT_TRUE(rc::check([](std::vector<std::uint32_t> events) {
-        Appointments appointments(Duration{5000}, 1);
+        RetryAfterSchedule retry_after(Duration{5000}, 1);
         std::size_t given = 0, taken = 0;
         double now = 0;
         for (std::uint32_t event : events) {
             now += event >> 8 & 0xff;
             if (event & 1) {
-                double back = appointments.give(at(now), double(event >> 16 & 0xff)).count();
+                double back = retry_after.give(at(now), double(event >> 16 & 0xff)).count();
                 RC_ASSERT(back > 0 && back <= 5000);
                 ++given;
             } else {
-                taken += appointments.keep(at(now));
+                taken += retry_after.keep(at(now));
             }
-            RC_ASSERT(taken + appointments.booked(at(now)) <= given);
+            RC_ASSERT(taken + retry_after.booked(at(now)) <= given);
         }
-        RC_ASSERT(appointments.booked(at(now + 1e7)) == 0u);
-        RC_ASSERT(!appointments.keep(at(now + 2e7)));
+        RC_ASSERT(retry_after.booked(at(now + 1e7)) == 0u);
+        RC_ASSERT(!retry_after.keep(at(now + 2e7)));
     }));
 }
 
