Rename Weather to LoadState

Need: names follow the standard terms of the field. Identifiers and their mentions alone; nothing acts otherwise. The log's word and the lab's command stay as released.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -296,8 +296,8 @@
 /// What nodes call: in how many seeds, how soon behind the first fault's begin (the day's, where there is none), and for
 /// how long over all nodes.
 int run_weather(const Common& common, int jobs, bool changes) {
-    using State = ochrehub::Weather::State;
-    constexpr std::size_t kStates = ochrehub::Weather::kStates;
+    using State = ochrehub::LoadState::State;
+    constexpr std::size_t kStates = ochrehub::LoadState::kStates;
     Seeds seeds = seeds_of(common);
     Scenario scenario = Scenario::read(common.scenario);
     struct OfSeed {
@@ -321,19 +321,19 @@
             since = at;
         };
         WorldOptions options;
-        options.weather = [&](ochrehub::lab::NodeNo node, const ochrehub::Weather::Change& change) {
+        options.load_state = [&](ochrehub::lab::NodeNo node, const ochrehub::LoadState::Change& change) {
             const double at = (change.at - World::kStart).count();
             move(node, change.to, at);
             double& first = into.first[std::size_t(change.to)];
             if (first < 0) first = std::max(0.0, at - cause);
             if (!changes) return;
-            const ochrehub::Weather::Signs& why = change.why;
+            const ochrehub::LoadState::Signs& why = change.why;
             char line[400];
             std::snprintf(line, sizeof line,
                           "seed %llu node %d %.2f s (%+.2f): %s, was %s; tries %.0f (usual %.0f) repeats %.2f refused "
                           "%.2f late %.2f served %.0f of %.0f slow %.2f opened %.0f (usual %.0f) leaving %d new %d tenant %d grew %.1f\n",
                           static_cast<unsigned long long>(seed), node, at / 1000, (at - cause) / 1000,
-                          ochrehub::Weather::name(change.to), ochrehub::Weather::name(change.from), why.tries,
+                          ochrehub::LoadState::name(change.to), ochrehub::LoadState::name(change.from), why.tries,
                           why.usual_first, why.repeats, why.refused, why.late, why.served, why.capacity, why.slow,
                           why.opened, why.usual_opened, why.draining, why.fresh, why.tenant, why.grew);
             into.lines += line;
@@ -354,7 +354,7 @@
             nodes += double(one.nodes);
         }
         std::sort(soon.begin(), soon.end());
-        std::printf("  %s %zu", ochrehub::Weather::name(State(state)), soon.size());
+        std::printf("  %s %zu", ochrehub::LoadState::name(State(state)), soon.size());
         if (!soon.empty())
             std::printf(" (%.1f, %.1f s; %.1f s a node)", soon[soon.size() / 2],
                         soon[std::size_t(0.9 * double(soon.size() - 1))], held / nodes);
--- a/lab/sim/emulated_node.cpp
+++ b/lab/sim/emulated_node.cpp
@@ -56,7 +56,7 @@
 
 EmulatedNode::EmulatedNode(const Day& day, NodeNo node, const Settings& settings, NodeScheduler& scheduler,
                            NodeWorld& world, const ListOut& known, std::uint64_t seed, Meddler* meddler, bool bounded_admission,
-                           SimFront::WeatherHeard weather)
+                           SimFront::LoadStateHeard load_state)
     : engine_(scheduler, settings, seed),
       pool_(scheduler, world, engine_, settings, budget_of(day, node).servers, meddler),
       watch_(day, scheduler, world, seed * 3 + 1, [this](const Listing& listing) {
@@ -64,7 +64,7 @@
           engine_.listed(listing);
       }),
       front_(scheduler, world, engine_, AdmissionController::of(settings, budget_of(day, node).asked, ~seed, bounded_admission),
-             budget_of(day, node), meddler, pool_.hands(), std::move(weather)) {
+             budget_of(day, node), meddler, pool_.hands(), std::move(load_state)) {
     engine_.connect(pool_, watch_);
     pool_.hands().reply = [&world](ClientConnection connection, TryId id, const SimReply& reply) {
         world.reply(connection, id, reply);
--- a/lab/sim/emulated_node.h
+++ b/lab/sim/emulated_node.h
@@ -21,7 +21,7 @@
 public:
     EmulatedNode(const Day& day, NodeNo node, const Settings& settings, NodeScheduler& scheduler, NodeWorld& world,
                  const ListOut& known, std::uint64_t seed, Meddler* meddler = nullptr,
-                 bool bounded_admission = true, SimFront::WeatherHeard weather = nullptr);
+                 bool bounded_admission = true, SimFront::LoadStateHeard load_state = nullptr);
 
     void client_opened(ClientConnection connection) override { front_.opened(connection); }
     void client_asked(const Ask& ask) override { front_.asked(ask); }
--- a/lab/sim/sim_front.cpp
+++ b/lab/sim/sim_front.cpp
@@ -158,14 +158,14 @@
 };
 
 SimFront::SimFront(NodeScheduler& scheduler, NodeWorld& world, Engine& engine, AdmissionController admission,
-                   DescriptorBudget budget, Meddler* meddler, const Meddler::Hands& hands, WeatherHeard weather)
+                   DescriptorBudget budget, Meddler* meddler, const Meddler::Hands& hands, LoadStateHeard load_state)
     : scheduler_(scheduler),
       world_(world),
       engine_(engine),
       meddler_(meddler),
       hands_(hands),
       admission_(std::move(admission)),
-      weather_(std::move(weather)),
+      load_state_(std::move(load_state)),
       table_(budget) {
     sweep();
 }
@@ -236,8 +236,8 @@
         if (session->late()) late.push_back(session);
     });
     for (const auto& session : late) session->close();
-    std::optional<Weather::Change> change = admission_.look(scheduler_.now());
-    if (change && weather_) weather_(*change);
+    std::optional<LoadState::Change> change = admission_.look(scheduler_.now());
+    if (change && load_state_) load_state_(*change);
     scheduler_.call_at(scheduler_.now() + kSweep, [this] { sweep(); });
 }
 
--- a/lab/sim/sim_front.h
+++ b/lab/sim/sim_front.h
@@ -17,10 +17,10 @@
 
 class SimFront {
 public:
-    using WeatherHeard = std::function<void(const Weather::Change&)>;
+    using LoadStateHeard = std::function<void(const LoadState::Change&)>;
 
     SimFront(NodeScheduler& scheduler, NodeWorld& world, Engine& engine, AdmissionController admission, DescriptorBudget budget,
-             Meddler* meddler, const Meddler::Hands& hands, WeatherHeard weather = nullptr);
+             Meddler* meddler, const Meddler::Hands& hands, LoadStateHeard load_state = nullptr);
     ~SimFront();
 
     void opened(ClientConnection connection);
@@ -46,7 +46,7 @@
     Meddler* meddler_;
     const Meddler::Hands& hands_;
     AdmissionController admission_;
-    WeatherHeard weather_;
+    LoadStateHeard load_state_;
     Table table_;
     boost::unordered_flat_map<ClientConnection, std::shared_ptr<Session>> sessions_;
     struct Backlogged {
--- a/lab/sim/world.cpp
+++ b/lab/sim/world.cpp
@@ -99,13 +99,13 @@
         Settings settings = settings_of(world_.day_, number_);
         if (world_.options_.settings) world_.options_.settings(settings);
         std::uint64_t seed = mix(mix(world_.day_.seed, 0x6e6f6465), std::uint64_t(number_) << 20 | life_);
-        SimFront::WeatherHeard weather;
-        if (world_.options_.weather)
-            weather = [this](const Weather::Change& change) { world_.options_.weather(number_, change); };
-        scheduler_->enter([this, &settings, seed, &weather] {
+        SimFront::LoadStateHeard load_state;
+        if (world_.options_.load_state)
+            load_state = [this](const LoadState::Change& change) { world_.options_.load_state(number_, change); };
+        scheduler_->enter([this, &settings, seed, &load_state] {
             node_ = std::make_unique<EmulatedNode>(world_.day_, number_, settings, *scheduler_, *this,
                                                    world_.discovery_->known(), seed, meddler_.get(),
-                                                   world_.options_.bounded_admission, std::move(weather));
+                                                   world_.options_.bounded_admission, std::move(load_state));
         });
     }
     void end() {
--- a/lab/sim/world.h
+++ b/lab/sim/world.h
@@ -6,7 +6,7 @@
 #include <memory>
 #include <vector>
 
-#include "admission/weather.h"
+#include "admission/load_state.h"
 #include "lab/model/clients.h"
 #include "lab/model/day.h"
 #include "lab/model/discovery.h"
@@ -26,7 +26,7 @@
     bool bounded_admission = true;                 ///< false: nodes let everything in
     bool sheds = true;                        ///< false: nodes read all in its order, however old
     bool fleet = false;                       ///< nodes know each other, as by [fleet], and divide by those that are here
-    std::function<void(NodeNo, const Weather::Change&)> weather;  ///< as nodes see it; hears of each change
+    std::function<void(NodeNo, const LoadState::Change&)> load_state;  ///< as nodes see it; hears of each change
 };
 
 class World {
--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -128,7 +128,7 @@
       bounded_(settings.bounded),
       advises_(settings.most_advice.count() > 0),
       retry_after_(settings.most_advice, settings.seed),
-      weather_([&] {
+      load_state_([&] {
           std::vector<Duration> give_up = settings.give_up;
           give_up.resize(settings.worth.size(), Duration{1000});
           return give_up;
@@ -154,7 +154,7 @@
 }
 
 std::size_t AdmissionController::bytes() const {
-    return sizeof(*this) - sizeof(weather_) + weather_.bytes() + classes_.capacity() * sizeof(Class) +
+    return sizeof(*this) - sizeof(load_state_) + load_state_.bytes() + classes_.capacity() * sizeof(Class) +
            tenants_.capacity() * sizeof(Tenant);
 }
 
@@ -191,7 +191,7 @@
 bool AdmissionController::may_enter(TimePoint now, const Knock& knock) {
     std::uint64_t who = known_as(knock);
     Heed::Comes comes = who != 0 ? heed_.comes(now, who) : Heed::Comes::Unknown;
-    weather_.came(now, knock.tenant, knock.repeat);
+    load_state_.came(now, knock.tenant, knock.repeat);
     // One that is known to come too early takes nobody's seat.
     bool in_turn = !knock.repeat;
     if (knock.repeat && comes != Heed::Comes::Early)
@@ -226,14 +226,14 @@
 void AdmissionController::leave(TimePoint now, const Knock& knock, bool served, Duration took, Duration server_took) {
     --open_;
     --tenant(knock).open;
-    weather_.ended(now, knock.cls, served, took);
+    load_state_.ended(now, knock.cls, served, took);
     if (!served) return;
-    if (server_took.count() > 0) weather_.answered(now, knock.cls, server_took);
+    if (server_took.count() > 0) load_state_.answered(now, knock.cls, server_took);
     served_ = served_ * std::exp(-((now - served_at_) / kServedOver)) + 1000 / kServedOver.count();
     served_at_ = now;
     most_ = std::max(served_, most_ * std::exp(-((now - most_at_) / kMostFade)));
     most_at_ = now;
-    usual_ms_ += (usual_ms_ > 0 ? kTookGain : 1) * (weather_.usual_ms(knock.cls) - usual_ms_);
+    usual_ms_ += (usual_ms_ > 0 ? kTookGain : 1) * (load_state_.usual_ms(knock.cls) - usual_ms_);
     Class& c = classes_[std::size_t(knock.cls)];
     c.took_ms += (c.took_ms > 0 ? kTookGain : 1) * (took.count() - c.took_ms);
 }
@@ -243,7 +243,7 @@
 }
 
 Duration AdmissionController::advise(TimePoint now, const Knock& knock, Duration patience) {
-    weather_.refused(now);
+    load_state_.refused(now);
     if (!advises_) return Duration{0};
     double rate = served_ * std::exp(-((now - served_at_) / kServedOver));
     Duration back = retry_after_.give(now, kReturnsShare * rate, patience);
@@ -252,7 +252,7 @@
 }
 
 Duration AdmissionController::turn_away(TimePoint now, const Knock& knock) {
-    weather_.came(now, knock.tenant, knock.repeat);
+    load_state_.came(now, knock.tenant, knock.repeat);
     return advise(now, knock, {});  // nobody has read what it asks for
 }
 
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -11,7 +11,7 @@
 #include <random>
 #include <vector>
 
-#include "admission/weather.h"
+#include "admission/load_state.h"
 #include "ochrehub/rules.h"
 
 namespace ochrehub {
@@ -107,11 +107,11 @@
     Duration turn_away(TimePoint now, const Knock& knock);
 
     /// Of a client's.
-    void connection_opened(TimePoint now) { weather_.opened(now); }
-    void listed(TimePoint now, const ListUpdate& update) { weather_.listed(now, update); }
+    void connection_opened(TimePoint now) { load_state_.opened(now); }
+    void listed(TimePoint now, const ListUpdate& update) { load_state_.listed(now, update); }
     /// To be called now and then: how the weather has changed since.
-    std::optional<Weather::Change> look(TimePoint now) { return weather_.look(now); }
-    const Weather& weather() const { return weather_; }
+    std::optional<LoadState::Change> look(TimePoint now) { return load_state_.look(now); }
+    const LoadState& load_state() const { return load_state_; }
     std::size_t bytes() const;
 
     std::size_t open() const { return open_; }
@@ -139,7 +139,7 @@
     bool bounded_, advises_;
     RetryAfterSchedule retry_after_;
     Heed heed_;
-    Weather weather_;
+    LoadState load_state_;
     double served_ = 0;  // a second, smoothed over kServedOver
     double most_ = 0;    // ... at most, of late
     double usual_ms_ = 0;  // of a server's answer, over what is served
--- a/src/admission/weather.cpp
+++ b/src/admission/load_state.cpp
@@ -1,4 +1,4 @@
-#include "admission/weather.h"
+#include "admission/load_state.h"
 
 #include <algorithm>
 #include <cmath>
@@ -31,21 +31,21 @@
 
 }  // namespace
 
-Weather::Weather(std::vector<Duration> give_up, std::size_t tenants) : tenants_(tenants) {
+LoadState::LoadState(std::vector<Duration> give_up, std::size_t tenants) : tenants_(tenants) {
     for (Duration each : give_up) classes_.push_back({each});
 }
 
-const char* Weather::name(State state) {
+const char* LoadState::name(State state) {
     static constexpr const char* kNames[kStates] = {"calm", "busy", "brownout", "release", "storm"};
     return kNames[std::size_t(state)];
 }
 
-std::size_t Weather::bytes() const {
+std::size_t LoadState::bytes() const {
     return sizeof(*this) + classes_.capacity() * sizeof(Class) + tenants_.capacity() * sizeof(Tenant) +
            (ready_.capacity() + draining_.capacity()) * sizeof(ServerId);
 }
 
-Weather::Step& Weather::step(TimePoint now) {
+LoadState::Step& LoadState::step(TimePoint now) {
     auto at = std::uint64_t(std::max(0.0, now.time_since_epoch() / kStep));
     if (began_ == 0) began_ = at_ = at;
     // Behind a long silence the window is empty, and all that was of late is over.
@@ -54,22 +54,22 @@
     return steps_[at_ % kSteps];
 }
 
-void Weather::opened(TimePoint now) { ++step(now).opened; }
-void Weather::came(TimePoint now, int tenant, bool repeat) {
+void LoadState::opened(TimePoint now) { ++step(now).opened; }
+void LoadState::came(TimePoint now, int tenant, bool repeat) {
     Step& s = step(now);
     ++(repeat ? s.repeats : s.first);
     if (tenant >= 0 && std::size_t(tenant) < tenants_.size()) ++tenants_[std::size_t(tenant)].came;
 }
-void Weather::refused(TimePoint now) { ++step(now).refused; }
+void LoadState::refused(TimePoint now) { ++step(now).refused; }
 
-void Weather::ended(TimePoint now, int cls, bool served, Duration took) {
+void LoadState::ended(TimePoint now, int cls, bool served, Duration took) {
     Step& s = step(now);
     ++s.ended;
     s.served += served;
     s.late += took > classes_[std::size_t(cls)].give_up * kLate;
 }
 
-void Weather::answered(TimePoint now, int cls, Duration took) {
+void LoadState::answered(TimePoint now, int cls, Duration took) {
     Step& s = step(now);
     Class& c = classes_[std::size_t(cls)];
     double log = std::log(std::max(0.1, took.count()));
@@ -80,7 +80,7 @@
     ++s.answers;
 }
 
-void Weather::listed(TimePoint now, const ListUpdate& update) {
+void LoadState::listed(TimePoint now, const ListUpdate& update) {
     if (update.kind == ListKind::Failed) return;
     step(now);
     std::size_t place = at_ % joined_.size();
@@ -111,7 +111,7 @@
     listed_ = update.kind != ListKind::Cached || listed_;
 }
 
-void Weather::sum_up() {
+void LoadState::sum_up() {
     Step sum;
     for (const Step& s : steps_) {
         sum.first += s.first;
@@ -152,7 +152,7 @@
     }
 }
 
-void Weather::close_step() {
+void LoadState::close_step() {
     sum_up();
     State seen = judge();
     // What is called is not what is usual, nor is what may be called in the next step.
@@ -174,7 +174,7 @@
     left_[at_ % left_.size()] = joined_[at_ % joined_.size()] = 0;
 }
 
-void Weather::learn() {
+void LoadState::learn() {
     learnt_ = std::min(learnt_ + 1, UINT32_MAX - 1);
     auto gain = [](std::uint32_t steps) { return std::max(1 - std::exp(-kStep.count() / kLearnOver), 1.0 / steps); };
     signs_.usual_first += gain(learnt_) * (signs_.tries * (1 - signs_.repeats) - signs_.usual_first);
@@ -191,12 +191,12 @@
     }
 }
 
-double Weather::usual_ms(int cls) const {
+double LoadState::usual_ms(int cls) const {
     const Class& c = classes_[std::size_t(cls)];
     return c.steps > 0 ? std::exp(c.usual) : 0;
 }
 
-Weather::State Weather::judge() const {
+LoadState::State LoadState::judge() const {
     const Signs& s = signs_;
     if (s.draining >= 1 && s.draining + s.fresh >= 2) return State::Release;
     const bool known = learnt_ >= kLearnAtLeast;
@@ -212,7 +212,7 @@
     return s.refused >= 0.02 || s.repeats >= 0.1 ? State::Busy : State::Calm;
 }
 
-std::optional<Weather::Change> Weather::look(TimePoint now) {
+std::optional<LoadState::Change> LoadState::look(TimePoint now) {
     step(now);
     return std::exchange(change_, std::nullopt);
 }
--- a/src/admission/weather.h
+++ b/src/admission/load_state.h
@@ -15,7 +15,7 @@
 
 namespace ochrehub {
 
-class Weather {
+class LoadState {
 public:
     enum class State : std::uint8_t { Calm, Busy, Brownout, Release, Storm };
     static constexpr std::size_t kStates = 5;
@@ -42,7 +42,7 @@
     };
 
     /// `give_up`: of each class, how long its clients wait.
-    Weather(std::vector<Duration> give_up, std::size_t tenants);
+    LoadState(std::vector<Duration> give_up, std::size_t tenants);
 
     void opened(TimePoint now);
     void came(TimePoint now, int tenant, bool repeat);
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -208,15 +208,15 @@
     asio::post(io_, [this] { read_some(); });
 }
 
-void Front::tell(const Weather::Change& change) {
-    const Weather::Signs& why = change.why;
+void Front::tell(const LoadState::Change& change) {
+    const LoadState::Signs& why = change.why;
     auto percent = [](double part) { return std::lround(100 * part); };
-    LogLevel level = change.to > Weather::State::Busy     ? LogLevel::Warn
-                     : change.from > Weather::State::Busy ? LogLevel::Info
+    LogLevel level = change.to > LoadState::State::Busy     ? LogLevel::Warn
+                     : change.from > LoadState::State::Busy ? LogLevel::Info
                                                           : LogLevel::Debug;  // busy is no news
     log(level,
-        std::string("weather: ") + Weather::name(change.to),
-        {{"from", Weather::name(change.from)},
+        std::string("weather: ") + LoadState::name(change.to),
+        {{"from", LoadState::name(change.from)},
          {"tries_per_s", std::lround(why.tries)},
          {"usual_first_per_s", std::lround(why.usual_first)},
          {"repeats_percent", percent(why.repeats)},
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -103,7 +103,7 @@
     void take(boost::asio::ip::tcp::socket socket);
     void sweep();
     void read_some();
-    void tell(const Weather::Change& change);
+    void tell(const LoadState::Change& change);
 
     boost::asio::io_context& io_;
     BufferPool& pool_;
--- a/tests/weather_test.cpp
+++ b/tests/load_state_test.cpp
@@ -1,5 +1,5 @@
 // What a node calls the weather: each kind of day caused, and what must not be taken for one.
-#include "admission/weather.h"
+#include "admission/load_state.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
@@ -10,7 +10,7 @@
 namespace ochrehub {
 namespace {
 
-using State = Weather::State;
+using State = LoadState::State;
 
 TimePoint at(double ms) {
     return TimePoint{Duration{1e6 + ms}};
@@ -18,8 +18,8 @@
 
 /// A node's day, evenly spread: so many a second come and are answered.
 struct Day {
-    Weather weather{{Duration{600}, Duration{1500}}, 3};
-    std::vector<Weather::Change> changes;
+    LoadState load_state{{Duration{600}, Duration{1500}}, 3};
+    std::vector<LoadState::Change> changes;
     double now = 0;
 
     struct Rates {
@@ -34,18 +34,18 @@
             auto each = [](double& sum, double rate, auto f) {
                 for (sum += rate * 0.005; sum >= 1; --sum) f();
             };
-            each(first, rates.first - rates.of_tenant, [&] { weather.came(at(now), turn++ % 3, false); });
-            each(own, rates.of_tenant, [&] { weather.came(at(now), rates.tenant, false); });
-            each(repeats, rates.repeats, [&] { weather.came(at(now), turn++ % 3, true); });
-            each(refused, rates.refused, [&] { weather.refused(at(now)); });
-            each(opened, rates.opened, [&] { weather.opened(at(now)); });
+            each(first, rates.first - rates.of_tenant, [&] { load_state.came(at(now), turn++ % 3, false); });
+            each(own, rates.of_tenant, [&] { load_state.came(at(now), rates.tenant, false); });
+            each(repeats, rates.repeats, [&] { load_state.came(at(now), turn++ % 3, true); });
+            each(refused, rates.refused, [&] { load_state.refused(at(now)); });
+            each(opened, rates.opened, [&] { load_state.opened(at(now)); });
             each(served, rates.served, [&] {
                 int cls = turn++ % 2;
                 double took = rates.server_ms * (cls + 1) * (0.7 + 0.1 * (turn % 7));
-                weather.ended(at(now), cls, true, Duration{took + 5});
-                weather.answered(at(now), cls, Duration{took});
+                load_state.ended(at(now), cls, true, Duration{took + 5});
+                load_state.answered(at(now), cls, Duration{took});
             });
-            if (auto change = weather.look(at(now))) changes.push_back(*change);
+            if (auto change = load_state.look(at(now))) changes.push_back(*change);
         }
     }
     int called(State state) const {
@@ -63,7 +63,7 @@
         ListUpdate update;
         update.kind = kind;
         update.entries = entries;
-        weather.listed(at(now), update);
+        load_state.listed(at(now), update);
     }
 };
 
@@ -75,7 +75,7 @@
     return e;
 }
 
-TEST(Weather, ABusyDayIsNoStorm) {
+TEST(LoadState, ABusyDayIsNoStorm) {
     Day day;
     // Waves up to what the servers can do and a little beyond: some are refused at each peak and come again.
     for (int wave = 0; wave < 20; ++wave) {
@@ -88,66 +88,66 @@
     EXPECT_GT(day.called(State::Busy), 0);
 }
 
-TEST(Weather, MoreThanCanBeAnsweredAndAskedAgainIsAStorm) {
+TEST(LoadState, MoreThanCanBeAnsweredAndAskedAgainIsAStorm) {
     Day day;
     day.pass(10000, {});
     day.pass(6000, {.first = 320, .repeats = 180, .refused = 290, .served = 210, .server_ms = 45});
-    EXPECT_EQ(day.weather.state(), State::Storm);
+    EXPECT_EQ(day.load_state.state(), State::Storm);
     EXPECT_GT(day.after(State::Storm, 10000), 1000);
     EXPECT_LT(day.after(State::Storm, 10000), 4000);
     EXPECT_EQ(day.called(State::Brownout), 0);
     // What is called is not taken for usual.
-    EXPECT_NEAR(day.weather.signs().usual_first, 200, 30);
+    EXPECT_NEAR(day.load_state.signs().usual_first, 200, 30);
     day.pass(8000, {});
-    EXPECT_EQ(day.weather.state(), State::Calm);
+    EXPECT_EQ(day.load_state.state(), State::Calm);
 }
 
-TEST(Weather, FewerAnswersThoughNoMoreComesIsABrownout) {
+TEST(LoadState, FewerAnswersThoughNoMoreComesIsABrownout) {
     Day day;
     day.pass(10000, {});
     day.pass(5000, {.first = 200, .repeats = 90, .refused = 190, .served = 100, .server_ms = 70});
-    EXPECT_EQ(day.weather.state(), State::Brownout);
+    EXPECT_EQ(day.load_state.state(), State::Brownout);
     EXPECT_LT(day.after(State::Brownout, 10000), 3000);
     EXPECT_EQ(day.called(State::Storm), 0);
     EXPECT_GT(day.changes.back().why.slow, 1.35);
     day.pass(8000, {});
-    EXPECT_EQ(day.weather.state(), State::Calm);
+    EXPECT_EQ(day.load_state.state(), State::Calm);
 }
 
-TEST(Weather, NoAnswersAtAllAndACrowdThatAsksAgainIsAStorm) {
+TEST(LoadState, NoAnswersAtAllAndACrowdThatAsksAgainIsAStorm) {
     Day day;
     day.pass(10000, {});
     day.pass(6000, {.first = 200, .repeats = 400, .refused = 600, .served = 0});
-    EXPECT_EQ(day.weather.state(), State::Storm);
+    EXPECT_EQ(day.load_state.state(), State::Storm);
 }
 
-TEST(Weather, OneTenantsStormIsCalledByItsName) {
+TEST(LoadState, OneTenantsStormIsCalledByItsName) {
     Day day;
     day.pass(10000, {});
     day.pass(5000, {.first = 400, .refused = 60, .served = 340, .tenant = 1, .of_tenant = 270});
-    EXPECT_EQ(day.weather.state(), State::Storm);
+    EXPECT_EQ(day.load_state.state(), State::Storm);
     ASSERT_FALSE(day.changes.empty());
     EXPECT_EQ(day.changes.back().why.tenant, 1);
     EXPECT_GT(day.changes.back().why.grew, 3);
 }
 
-TEST(Weather, ServersThatDrainAndNewOnesAreARelease) {
+TEST(LoadState, ServersThatDrainAndNewOnesAreARelease) {
     Day day;
     day.list(ListKind::Full, {entry(1), entry(2), entry(3), entry(4)});
     day.pass(5000, {});
-    EXPECT_EQ(day.weather.state(), State::Calm);
+    EXPECT_EQ(day.load_state.state(), State::Calm);
     day.list(ListKind::Delta, {entry(1, Phase::Draining), entry(2, Phase::Draining)});
     day.pass(1000, {});
-    EXPECT_EQ(day.weather.state(), State::Release);
+    EXPECT_EQ(day.load_state.state(), State::Release);
     day.list(ListKind::Delta, {entry(1, Phase::Gone), entry(5, Phase::Ready, at(day.now - 500))});
     day.pass(9000, {});
-    EXPECT_EQ(day.weather.state(), State::Release) << "the new one warms still";
+    EXPECT_EQ(day.load_state.state(), State::Release) << "the new one warms still";
     day.pass(9000, {});
-    EXPECT_EQ(day.weather.state(), State::Calm);
+    EXPECT_EQ(day.load_state.state(), State::Calm);
     EXPECT_EQ(day.changes.size(), 2u);
 }
 
-TEST(Weather, ListsThatSayNothingNewAreNoRelease) {
+TEST(LoadState, ListsThatSayNothingNewAreNoRelease) {
     Day day;
     day.list(ListKind::Cached, {entry(8), entry(9)});
     day.list(ListKind::Full, {entry(1), entry(2), entry(3, Phase::Draining)});
@@ -162,7 +162,7 @@
     EXPECT_TRUE(day.changes.empty());
 }
 
-TEST(Weather, ABurstBehindAStartIsNoStorm) {
+TEST(LoadState, ABurstBehindAStartIsNoStorm) {
     Day day;
     day.pass(2000, {.first = 600, .repeats = 400, .refused = 800, .served = 200});
     day.pass(5000, {});
@@ -170,21 +170,21 @@
     EXPECT_EQ(day.called(State::Brownout), 0);
 }
 
-TEST(Weather, ASilenceEndsWhatWasCalled) {
+TEST(LoadState, ASilenceEndsWhatWasCalled) {
     Day day;
     day.pass(10000, {});
     day.pass(6000, {.first = 320, .repeats = 180, .refused = 290, .served = 210});
-    ASSERT_EQ(day.weather.state(), State::Storm);
+    ASSERT_EQ(day.load_state.state(), State::Storm);
     // A node that stood still, too: it hears all at once.
     day.now += 3.6e6;
     day.pass(4000, {});
-    EXPECT_EQ(day.weather.state(), State::Calm);
+    EXPECT_EQ(day.load_state.state(), State::Calm);
 }
 
 // Whatever comes: it tells of each change once, in the order of their times, and what it was before fits.
-TEST(Weather, TellsOfEachChangeOnceWhateverComes) {
+TEST(LoadState, TellsOfEachChangeOnceWhateverComes) {
     EXPECT_TRUE(rc::check([](const std::vector<std::uint32_t>& events) {
-        Weather weather({Duration{600}, Duration{1500}}, 3);
+        LoadState load_state({Duration{600}, Duration{1500}}, 3);
         double now = 0;
         State known = State::Calm;
         TimePoint told = at(0);
@@ -192,24 +192,24 @@
             now += event % 11 == 0 ? event >> 8 & 0xffff : event >> 8 & 0x3f;
             int many = 1 + int(event >> 24) % 40;
             for (int i = 0; i < many; ++i) switch (event % 5) {
-                    case 0: weather.came(at(now), int(event >> 5) % 4 - 1, event & 0x20); break;
-                    case 1: weather.refused(at(now)); break;
-                    case 2: weather.ended(at(now), int(event >> 5) % 2, event & 0x40, Duration{double(event >> 20)}); break;
-                    case 3: weather.answered(at(now), int(event >> 5) % 2, Duration{double(event >> 20)}); break;
-                    default: weather.opened(at(now));
+                    case 0: load_state.came(at(now), int(event >> 5) % 4 - 1, event & 0x20); break;
+                    case 1: load_state.refused(at(now)); break;
+                    case 2: load_state.ended(at(now), int(event >> 5) % 2, event & 0x40, Duration{double(event >> 20)}); break;
+                    case 3: load_state.answered(at(now), int(event >> 5) % 2, Duration{double(event >> 20)}); break;
+                    default: load_state.opened(at(now));
                 }
-            State before = weather.state();
-            auto change = weather.look(at(now));
+            State before = load_state.state();
+            auto change = load_state.look(at(now));
             if (change) {
-                RC_ASSERT(change->to == weather.state());
+                RC_ASSERT(change->to == load_state.state());
                 RC_ASSERT(change->at >= told);
                 told = change->at;
                 known = change->to;
             } else {
-                RC_ASSERT(weather.state() == before);
+                RC_ASSERT(load_state.state() == before);
             }
-            RC_ASSERT(known == weather.state());
-            const Weather::Signs& s = weather.signs();
+            RC_ASSERT(known == load_state.state());
+            const LoadState::Signs& s = load_state.signs();
             RC_ASSERT(std::isfinite(s.slow) && s.repeats <= 1 && s.refused <= 1 && s.late <= 1);
         }
     }));
