Rename the second address's Desk to AdminServer

Need: names follow the standard terms of the field. Identifiers and their mentions alone; nothing acts otherwise.

--- a/src/admin/desk.cpp
+++ b/src/admin/admin_server.cpp
@@ -1,4 +1,4 @@
-#include "admin/desk.h"
+#include "admin/admin_server.h"
 
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -34,10 +34,10 @@
 /// One connection: a call, its answer, and the wait for the caller's close.
 class Visit : public std::enable_shared_from_this<Visit> {
 public:
-    Visit(asio::ip::tcp::socket socket, Desk& desk, asio::io_context& io)
-        : socket_(std::move(socket)), timer_(io), desk_(desk) {}
+    Visit(asio::ip::tcp::socket socket, AdminServer& server, asio::io_context& io)
+        : socket_(std::move(socket)), timer_(io), server_(server) {}
 
-    void start(Desk::Visits::iterator place) {
+    void start(AdminServer::Visits::iterator place) {
         place_ = place;
         parser_.header_limit(kHeadMost);
         parser_.body_limit(kBodyMost);
@@ -56,7 +56,7 @@
         error_code ignored;
         socket_.close(ignored);
         timer_.cancel();
-        desk_.visits_.erase(place_);  // the handler that runs now holds it
+        server_.visits_.erase(place_);  // the handler that runs now holds it
     }
 
 private:
@@ -72,7 +72,7 @@
         else if (error)
             answer = {400, "this is no call\n", {}, false};
         else
-            answer = admin::answer(desk_.node(), text(parser_.get().method_string()), text(parser_.get().target()));
+            answer = admin::answer(server_.node(), text(parser_.get().method_string()), text(parser_.get().target()));
         response_.version(11);
         response_.result(unsigned(answer.status));
         response_.set(http::field::content_type,
@@ -107,8 +107,8 @@
 
     asio::ip::tcp::socket socket_;
     asio::steady_timer timer_;
-    Desk& desk_;
-    Desk::Visits::iterator place_{};
+    AdminServer& server_;
+    AdminServer::Visits::iterator place_{};
     boost::beast::flat_buffer buffer_{kHeadMost + kBodyMost};
     http::request_parser<http::string_body> parser_;
     http::response<http::string_body> response_;
@@ -116,7 +116,7 @@
     bool closed_ = false, heard_ = false;
 };
 
-Desk::Desk(asio::io_context& io, const asio::ip::tcp::endpoint& control, Node node)
+AdminServer::AdminServer(asio::io_context& io, const asio::ip::tcp::endpoint& control, Node node)
     : io_(io), node_(std::move(node)), acceptor_(io), retry_(io) {
     acceptor_.open(control.protocol());
     acceptor_.set_option(asio::socket_base::reuse_address(true));
@@ -125,7 +125,7 @@
     accept();
 }
 
-void Desk::accept() {
+void AdminServer::accept() {
     acceptor_.async_accept([this](error_code error, asio::ip::tcp::socket socket) {
         if (!error) {
             error_code ignored;
@@ -147,7 +147,7 @@
 
 // Guards against callers that hold all connections and say nothing: whoever came first without a whole call goes,
 // then whoever has been answered.
-void Desk::make_room() {
+void AdminServer::make_room() {
     if (visits_.size() < kVisitsMost) return;
     std::shared_ptr<Visit> going = visits_.front();
     for (const auto& visit : visits_)
--- a/src/admin/desk.h
+++ b/src/admin/admin_server.h
@@ -13,13 +13,13 @@
 
 class Visit;
 
-class Desk {
+class AdminServer {
 public:
     /// Descriptors that it may hold: its connections, the listener, and what its loop needs.
     static constexpr std::size_t kDescriptors = 22;
 
     /// Throws boost::system::system_error where it cannot listen. `node` is called on the loop of `io` alone.
-    Desk(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& control, Node node);
+    AdminServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& control, Node node);
 
     const Node& node() const { return node_; }
 
--- a/src/admin/side.cpp
+++ b/src/admin/side.cpp
@@ -23,7 +23,7 @@
       store_(std::move(store)),
       by_hand_(std::move(by_hand)),
       look_(io_),
-      desk_(io_, control,
+      server_(io_, control,
             {[this] { return serves_.load(std::memory_order_relaxed); },
              [this, figures = fleet.figures] {
                  return metrics(counters_, classes_) + (figures ? figures() : std::string());
--- a/src/admin/side.h
+++ b/src/admin/side.h
@@ -16,7 +16,7 @@
 #include <unordered_set>
 #include <vector>
 
-#include "admin/desk.h"
+#include "admin/admin_server.h"
 #include "engine/counters.h"
 #include "engine/types.h"
 #include "takeover/store.h"
@@ -64,7 +64,7 @@
     boost::asio::io_context io_{1};
     boost::asio::steady_timer look_;
     std::chrono::steady_clock::time_point beat_at_{};
-    Desk desk_;
+    AdminServer server_;
     std::thread thread_;
 };
 
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -226,7 +226,7 @@
     auto rev = [&] { return "file rev " + std::to_string(revision); };
     BufferPool pool(config.memory_mb);  // before the loop: pending handlers still hold buffers when it goes
     asio::io_context io{1};
-    const std::size_t reserved = (config.control ? admin::Desk::kDescriptors : 0) +
+    const std::size_t reserved = (config.control ? admin::AdminServer::kDescriptors : 0) +
                                  (plan.fleet.on ? membership::Side::kDescriptors : 0) + (plan.keepers.on ? agreement::Side::kDescriptors : 0);
     DescriptorBudget budget = DescriptorBudget::of(config.sockets, reserved);
     Clock clock;
