Rename Hands to ManualOverrides and their Spell to Interval

Need: names follow the standard terms of the field. Identifiers and their mentions alone; nothing acts otherwise. The file that two processes share keeps its name and first line, as released files have them.

--- a/src/admin/side.cpp
+++ b/src/admin/side.cpp
@@ -62,14 +62,14 @@
         std::lock_guard lock(publishing_);
         ids = published_;
     }
-    return ids->contains(id) || store_.hands().out.contains(id);
+    return ids->contains(id) || store_.overrides().out.contains(id);
 }
 
 // Kept first: once it is said, it holds over an upgrade too.
 bool Side::take(const std::string& id, bool out) {
     store_changed_elsewhere();
     if (!known(id)) return false;
-    takeover::Hands before = store_.hands();
+    takeover::ManualOverrides before = store_.overrides();
     bool changed = out ? store_.take_out(id) : store_.put_back(id);
     if (changed) log(LogLevel::Info, out ? "server out by hand" : "server put back by hand", {{"server", id}});
     tell(before);
@@ -77,18 +77,18 @@
 }
 
 void Side::store_changed_elsewhere() {
-    takeover::Hands before = store_.hands();
+    takeover::ManualOverrides before = store_.overrides();
     if (store_.refresh()) tell(before);
 }
 
-void Side::tell(const takeover::Hands& before) {
-    const takeover::Hands& now = store_.hands();
+void Side::tell(const takeover::ManualOverrides& before) {
+    const takeover::ManualOverrides& now = store_.overrides();
     for (const auto& [id, since] : now.out)
         if (!before.out.contains(id)) by_hand_(hashed(id), true, since);
-    for (const auto& [id, spell] : now.back) {
-        if (auto was = before.back.find(id); was != before.back.end() && was->second == spell) continue;
-        by_hand_(hashed(id), true, spell.from);  // it may be news that it was out at all
-        by_hand_(hashed(id), false, spell.till);
+    for (const auto& [id, interval] : now.back) {
+        if (auto was = before.back.find(id); was != before.back.end() && was->second == interval) continue;
+        by_hand_(hashed(id), true, interval.from);  // it may be news that it was out at all
+        by_hand_(hashed(id), false, interval.till);
     }
     for (const auto& [id, since] : before.out)  // put back so long ago that the file has forgotten it
         if (!now.out.contains(id) && !now.back.contains(id)) by_hand_(hashed(id), false, since);
--- a/src/admin/side.h
+++ b/src/admin/side.h
@@ -50,7 +50,7 @@
     bool take(const std::string& id, bool out);
     bool known(const std::string& id);
     void store_changed_elsewhere();
-    void tell(const takeover::Hands& before);
+    void tell(const takeover::ManualOverrides& before);
     void look();
 
     Counters& counters_;
--- a/src/takeover/hands.cpp
+++ b/src/takeover/manual_overrides.cpp
@@ -1,4 +1,4 @@
-#include "takeover/hands.h"
+#include "takeover/manual_overrides.h"
 
 #include <array>
 #include <charconv>
@@ -68,12 +68,12 @@
 
 }  // namespace
 
-bool Hands::take_out(const std::string& id, TimePoint now) {
+bool ManualOverrides::take_out(const std::string& id, TimePoint now) {
     back.erase(id);
     return out.emplace(id, now).second;
 }
 
-bool Hands::put_back(const std::string& id, TimePoint now) {
+bool ManualOverrides::put_back(const std::string& id, TimePoint now) {
     auto it = out.find(id);
     if (it == out.end()) return false;
     back[id] = {it->second, now};
@@ -81,21 +81,21 @@
     return true;
 }
 
-void Hands::forget(TimePoint now, Duration age) {
+void ManualOverrides::forget(TimePoint now, Duration age) {
     std::erase_if(back, [&](const auto& its) { return now - its.second.till > age; });
 }
 
-std::string written(const Hands& hands, std::string_view node) {
+std::string written(const ManualOverrides& overrides, std::string_view node) {
     std::string text(kVersion);
     text.append("\nnode ").append(encoded(node)).append("\n");
-    for (const auto& [id, since] : hands.out)
+    for (const auto& [id, since] : overrides.out)
         text.append("out ").append(encoded(id)).append(time(since)).append("\n");
-    for (const auto& [id, spell] : hands.back)
-        text.append("back ").append(encoded(id)).append(time(spell.from)).append(time(spell.till)).append("\n");
+    for (const auto& [id, interval] : overrides.back)
+        text.append("back ").append(encoded(id)).append(time(interval.from)).append(time(interval.till)).append("\n");
     return text + "check " + check_of(text) + "\n";
 }
 
-std::optional<Hands> read(std::string_view text, std::string_view node, std::string& why) {
+std::optional<ManualOverrides> read(std::string_view text, std::string_view node, std::string& why) {
     auto bad = [&why](const char* what) {
         why = what;
         return std::nullopt;
@@ -104,7 +104,7 @@
     if (!text.starts_with(kVersion)) return bad(text.empty() ? "is empty" : "is of another version");
     if (end == std::string_view::npos || text.substr(end) != "check " + check_of(text.substr(0, end)) + "\n")
         return bad("is cut or was changed");
-    Hands hands;
+    ManualOverrides overrides;
     bool its_own = false;
     for (text = text.substr(0, end); !text.empty();) {
         std::string_view line = text.substr(0, text.find('\n'));
@@ -113,11 +113,11 @@
         std::string name = decoded(word(line));
         if (kind == "node") its_own = name == node;
         TimePoint from = read_time(line), till = read_time(line);
-        if (kind == "out") hands.out[name] = from;
-        if (kind == "back") hands.back[name] = {from, till};
+        if (kind == "out") overrides.out[name] = from;
+        if (kind == "back") overrides.back[name] = {from, till};
     }
     if (!its_own) return bad("is another node's");
-    return hands;
+    return overrides;
 }
 
 }  // namespace ochrehub::takeover
--- a/src/takeover/store.cpp
+++ b/src/takeover/store.cpp
@@ -65,22 +65,22 @@
     inode_ = now.st_ino;
     stamp_ = now.st_mtim;
     std::string why = "is of a process long gone";
-    std::optional<Hands> found;
+    std::optional<ManualOverrides> found;
     if (!fresh_only || std::time(nullptr) - now.st_mtime <= kGoneFor) {
         std::ifstream in(path_, std::ios::binary);
         found = read(std::string{std::istreambuf_iterator<char>(in), {}}, node_, why);
     }
     if (found)
-        hands_ = std::move(*found);
+        overrides_ = std::move(*found);
     else if (!std::exchange(complained_, true))
         log_line(LogLevel::Warn, "%s %s: not used", path_.c_str(), why.c_str());
 }
 
 bool Store::refresh() {
     if (path_.empty() || !changed_on_disk()) return false;
-    Hands before = hands_;
+    ManualOverrides before = overrides_;
     load(false);
-    return hands_ != before;
+    return overrides_ != before;
 }
 
 template <class Change>
@@ -89,7 +89,7 @@
     Lock lock(lock_path_);
     refresh();
     if (!change()) return false;
-    hands_.forget(wall(), cold_time_);
+    overrides_.forget(wall(), cold_time_);
     if (!write())
         log_line(LogLevel::Error, "%s: %s: servers out by hand will not outlast this process", path_.c_str(),
                  std::strerror(errno));
@@ -97,16 +97,16 @@
 }
 
 bool Store::take_out(const std::string& id) {
-    return change([&] { return hands_.take_out(id, wall()); });
+    return change([&] { return overrides_.take_out(id, wall()); });
 }
 
 bool Store::put_back(const std::string& id) {
-    return change([&] { return hands_.put_back(id, wall()); });
+    return change([&] { return overrides_.put_back(id, wall()); });
 }
 
 // To a new file that takes the old one's place: whoever reads it finds one or the other, whole.
 bool Store::write() const {
-    std::string text = written(hands_, node_), fresh = path_ + "." + std::to_string(getpid());
+    std::string text = written(overrides_, node_), fresh = path_ + "." + std::to_string(getpid());
     int file = open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
     if (file < 0) return false;
     bool whole = ::write(file, text.data(), text.size()) == ssize_t(text.size());
--- a/src/takeover/store.h
+++ b/src/takeover/store.h
@@ -7,7 +7,7 @@
 
 #include <string>
 
-#include "takeover/hands.h"
+#include "takeover/manual_overrides.h"
 
 namespace ochrehub::takeover {
 
@@ -22,7 +22,7 @@
     /// False: nothing has changed. On return it is in the file, or was logged as not kept.
     bool take_out(const std::string& id);
     bool put_back(const std::string& id);
-    const Hands& hands() const { return hands_; }
+    const ManualOverrides& overrides() const { return overrides_; }
     /// Says that this process lives: to be called every second or so.
     void beat() const;
 
@@ -35,7 +35,7 @@
 
     std::string path_, lock_path_, node_;
     Duration cold_time_;
-    Hands hands_;
+    ManualOverrides overrides_;
     ino_t inode_ = 0;
     timespec stamp_{};
     bool complained_ = false;
--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -13,7 +13,7 @@
 
 #include "admin/calls.h"
 #include "admin/metrics.h"
-#include "takeover/hands.h"
+#include "takeover/manual_overrides.h"
 #include "takeover/inherited.h"
 #include "takeover/pair.h"
 #include "takeover/store.h"
@@ -80,13 +80,13 @@
         EXPECT_TRUE(has(std::string("# TYPE app_") + name));
 }
 
-TEST(Hands, AFileIsReadWholeOrNotAtAll) {
-    takeover::Hands hands;
-    hands.take_out("s-1", TimePoint{Duration{1000}});
-    hands.take_out("an id\nof two lines %", TimePoint{Duration{2}});
-    hands.put_back("s-1", TimePoint{Duration{1234.5}});
-    std::string text = written(hands, "n0"), why;
-    EXPECT_EQ(takeover::read(text, "n0", why), hands);
+TEST(ManualOverrides, AFileIsReadWholeOrNotAtAll) {
+    takeover::ManualOverrides overrides;
+    overrides.take_out("s-1", TimePoint{Duration{1000}});
+    overrides.take_out("an id\nof two lines %", TimePoint{Duration{2}});
+    overrides.put_back("s-1", TimePoint{Duration{1234.5}});
+    std::string text = written(overrides, "n0"), why;
+    EXPECT_EQ(takeover::read(text, "n0", why), overrides);
     EXPECT_FALSE(takeover::read(text, "n1", why));
     for (std::size_t length = 0; length < text.size(); ++length)
         EXPECT_FALSE(takeover::read(text.substr(0, length), "n0", why)) << length;
@@ -97,13 +97,13 @@
     }
 }
 
-TEST(Hands, TwoOutsNeedOneBack) {
-    takeover::Hands hands;
-    EXPECT_TRUE(hands.take_out("a", TimePoint{}));
-    EXPECT_FALSE(hands.take_out("a", TimePoint{}));
-    EXPECT_TRUE(hands.put_back("a", TimePoint{}));
-    EXPECT_FALSE(hands.put_back("a", TimePoint{}));
-    EXPECT_TRUE(hands.out.empty());
+TEST(ManualOverrides, TwoOutsNeedOneBack) {
+    takeover::ManualOverrides overrides;
+    EXPECT_TRUE(overrides.take_out("a", TimePoint{}));
+    EXPECT_FALSE(overrides.take_out("a", TimePoint{}));
+    EXPECT_TRUE(overrides.put_back("a", TimePoint{}));
+    EXPECT_FALSE(overrides.put_back("a", TimePoint{}));
+    EXPECT_TRUE(overrides.out.empty());
 }
 
 TEST(Store, WhatOneProcessIsToldTheOtherLearnsAndTheNextOneHas) {
@@ -111,23 +111,23 @@
     takeover::Store old(folder.path, "n", "n0", Duration{8000});
     EXPECT_TRUE(old.take_out("a"));
     takeover::Store fresh(folder.path, "n", "n0", Duration{8000});
-    EXPECT_TRUE(fresh.hands().out.contains("a"));
+    EXPECT_TRUE(fresh.overrides().out.contains("a"));
     EXPECT_TRUE(old.take_out("b"));
     EXPECT_TRUE(fresh.refresh());
     EXPECT_FALSE(fresh.refresh());
     EXPECT_TRUE(fresh.put_back("a"));
     EXPECT_TRUE(old.take_out("c"));  // both told at once: neither is lost
     EXPECT_TRUE(fresh.refresh());
-    EXPECT_EQ(fresh.hands().out.size(), 2u);
-    EXPECT_TRUE(fresh.hands().out.contains("b") && fresh.hands().out.contains("c"));
-    EXPECT_TRUE(fresh.hands().back.contains("a"));
-    EXPECT_LE(fresh.hands().back.at("a").till, wall());
+    EXPECT_EQ(fresh.overrides().out.size(), 2u);
+    EXPECT_TRUE(fresh.overrides().out.contains("b") && fresh.overrides().out.contains("c"));
+    EXPECT_TRUE(fresh.overrides().back.contains("a"));
+    EXPECT_LE(fresh.overrides().back.at("a").till, wall());
 }
 
 TEST(Store, WhatCannotBeUsedIsNotAndWhatCannotBeWrittenStillHolds) {
     Folder folder;
     std::string file = folder.path + "/n.hands";
-    auto knows = [&] { return takeover::Store(folder.path, "n", "n0", Duration{8000}).hands().out.contains("a"); };
+    auto knows = [&] { return takeover::Store(folder.path, "n", "n0", Duration{8000}).overrides().out.contains("a"); };
     EXPECT_FALSE(knows());
     takeover::Store(folder.path, "n", "n0", Duration{8000}).take_out("a");
     EXPECT_TRUE(knows());
@@ -139,7 +139,7 @@
     EXPECT_FALSE(knows());
     takeover::Store lost(folder.path + "/no/such/folder", "n", "n0", Duration{8000});
     EXPECT_TRUE(lost.take_out("a"));
-    EXPECT_TRUE(lost.hands().out.contains("a"));
+    EXPECT_TRUE(lost.overrides().out.contains("a"));
     takeover::Store none("", "n", "n0", Duration{8000});
     EXPECT_TRUE(none.take_out("a"));
 }
