Rename Manner to HttpProfile

Need: names follow the standard terms of the field. Identifiers and their mentions alone; nothing acts otherwise.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -234,7 +234,7 @@
     Engine engine(scheduler, config.settings, config.seed);
     Counters counters(config.names.classes.size());
     engine.count_in(&counters);
-    http::ServerPool connections(io, pool, engine, config.settings, budget.servers, plan.manner, &counters);
+    http::ServerPool connections(io, pool, engine, config.settings, budget.servers, plan.profile, &counters);
     std::optional<membership::Side> fleet;  // before whatever shows it
     open_fleet(fleet, plan, [&](int gateways, int me) {
         asio::post(io, [&engine, gateways, me] { engine.sharers(gateways, me); });
@@ -263,7 +263,7 @@
     engine.connect(connections, servers.registry());
     figures::Figures figures(io, config.names, &counters);
     front.emplace(io, pool, engine, figures, config.settings, config.names, config.listen, config.inherited,
-                  budget, ~config.seed, plan.manner);
+                  budget, ~config.seed, plan.profile);
     const std::string& folder = config.scratch;
     std::string files =
         "ochrehub-" + config.listen.address().to_string() + "-" + std::to_string(config.listen.port());
--- a/src/app/plan.cpp
+++ b/src/app/plan.cpp
@@ -228,8 +228,8 @@
     names.zones = told.node.zones;
     const std::string& zone = told.node.zone;
     if (!zone.empty() && index_of(names.zones, zone) == kNone) names.zones.push_back(zone);
-    plan.manner = told.manner;
-    plan.manner.trace_seed = plan.node.seed;
+    plan.profile = told.profile;
+    plan.profile.trace_seed = plan.node.seed;
     Settings& settings = plan.node.settings = told.settings;
     settings.balancers = told.node.nodes;
     settings.zone = index_of(names.zones, zone);
@@ -237,7 +237,7 @@
     for (const Told::Class& c : told.classes) {
         names.classes.push_back(c.decisions.name);
         settings.classes.push_back(c.decisions.settings);
-        plan.manner.routes.push_back(c.route);
+        plan.profile.routes.push_back(c.route);
     }
     for (const NamedTenant& tenant : told.tenants) {
         names.tenants.push_back(tenant.name);
--- a/src/app/plan.h
+++ b/src/app/plan.h
@@ -12,7 +12,7 @@
 #include "base/log.h"
 #include "config/toml_file.h"
 #include "discovery/static_list.h"
-#include "http/manner.h"
+#include "http/http_profile.h"
 #include "fleet/membership/settings.h"
 
 namespace ochrehub::app {
@@ -20,7 +20,7 @@
 struct Plan {
     NodeConfig node;
     OperatorSettings operators;
-    http::Manner manner;
+    http::HttpProfile profile;
     LogSettings log;
     /// Instead of discovery.
     std::optional<std::vector<discovery::StaticServer>> servers;
--- a/src/app/toml_sections.cpp
+++ b/src/app/toml_sections.cpp
@@ -83,13 +83,13 @@
     config::join(limits, process_settings(), &Told::process);
     config::join(limits, limit_settings(), &Told::settings);
     config::join(health, health_settings(), &Told::settings);
-    config::join(health, http::probe_settings(), &Told::manner);
+    config::join(health, http::probe_settings(), &Told::profile);
     std::vector<config::Section> sections{
         {"", node_settings(), into.node},
         config::Section::list("class", classes(into.class_names), into.classes),
         config::Section::list("server", discovery::static_settings(), into.servers),
         config::Section::list("tenant", tenant_settings(), into.tenants),
-        {"http", http::settings(), into.manner},
+        {"http", http::settings(), into.profile},
         {"health", health, into},
         {"limits", limits, into},
         {"safety", safety_settings(), into.settings},
--- a/src/app/toml_sections.h
+++ b/src/app/toml_sections.h
@@ -13,7 +13,7 @@
 #include "config/table.h"
 #include "discovery/static_list.h"
 #include "engine/settings.h"
-#include "http/manner.h"
+#include "http/http_profile.h"
 #include "fleet/membership/settings.h"
 
 namespace ochrehub::app {
@@ -38,7 +38,7 @@
     Node node;
     Process process;
     Settings settings;
-    http::Manner manner;
+    http::HttpProfile profile;
     LogSettings log;
     membership::Told fleet;
     KeepersTold keepers;
--- a/src/http/call_reader.cpp
+++ b/src/http/call_reader.cpp
@@ -19,12 +19,12 @@
 
 }  // namespace
 
-CallReader::CallReader(const Settings& settings, const Names& names, const Manner& manner)
+CallReader::CallReader(const Settings& settings, const Names& names, const HttpProfile& profile)
     : classes_(settings.classes),
       names_(names),
-      routes_(manner.routes),
-      needs_trace_id_(!manner.makes_trace_ids),
-      random_(manner.trace_seed) {}
+      routes_(profile.routes),
+      needs_trace_id_(!profile.makes_trace_ids),
+      random_(profile.trace_seed) {}
 
 void CallReader::find_class(const HttpMessage& request, Reading& reading) const {
     int& found = reading.call.request.class_index;
--- a/src/http/call_reader.h
+++ b/src/http/call_reader.h
@@ -9,14 +9,14 @@
 
 #include "engine/engine.h"
 #include "engine/names.h"
-#include "http/manner.h"
+#include "http/http_profile.h"
 #include "http/message.h"
 
 namespace ochrehub::http {
 
 class CallReader {
 public:
-    CallReader(const Settings& settings, const Names& names, const Manner& manner);
+    CallReader(const Settings& settings, const Names& names, const HttpProfile& profile);
 
     /// What a request asks for. A status other than 200 answers it without the module: what the request says
     /// of itself is wrong. Class and tenant are told as far as they are known even then.
--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -42,7 +42,7 @@
     place_ = place;
     error_code error;
     socket_.non_blocking(true, error);
-    parser_.emplace(front_.pool(), front_.manner().body_bytes());
+    parser_.emplace(front_.pool(), front_.profile().body_bytes());
     enter(State::Reading);
     // A loop that is behind most likely finds its request there.
     front_.behind() ? front_.read_later(shared_from_this()) : wait_to_read();
@@ -248,7 +248,7 @@
     }
     if (entered_ - came_ >= front_.lag().most(reading.patience) && reading.patience.count() > 0)
         return refuse(front_.admission().turn_away(entered_, knock_));
-    if (!front_.manner().makes_trace_ids) {
+    if (!front_.profile().makes_trace_ids) {
         trace_ = request->header("X-Trace-Id");
         if (!front_.claim(trace_)) {
             close_after_ = true;
@@ -467,7 +467,7 @@
     rewrites_.reset();
     std::string().swap(path_);
     if (close_after_) return linger();
-    parser_.emplace(front_.pool(), front_.manner().body_bytes());
+    parser_.emplace(front_.pool(), front_.profile().body_bytes());
     begun_ = told_to_continue_ = long_linger_ = false;
     body_read_ = unread_.view().size();
     enter(State::Reading);
@@ -592,10 +592,10 @@
     if (state_ == State::Writing) return taken_.too_slow() || (!blocked_ && stood() > kWriteMost);
     auto most = [this]() -> Steady::duration {
         if (state_ == State::Lingering) return long_linger_ ? kUploadLingerMost : kLingerMost;
-        if (!begun_) return front_.manner().client_idle;
+        if (!begun_) return front_.profile().client_idle;
         // A body may be slow, but not as slow as it likes.
         Duration of_body{parser_->is_header_done() ? double(body_read_) / kSlowest : 0};
-        return front_.manner().request_most + std::chrono::duration_cast<Steady::duration>(of_body);
+        return front_.profile().request_most + std::chrono::duration_cast<Steady::duration>(of_body);
     };
     return (state_ == State::Reading || state_ == State::Lingering) && stood() > most();
 }
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -38,14 +38,14 @@
 
 Front::Front(asio::io_context& io, BufferPool& pool, Engine& engine, figures::Figures& figures,
              const Settings& settings, Names names, const asio::ip::tcp::endpoint& listen,
-             std::optional<int> inherited, DescriptorBudget budget, std::uint64_t seed, const Manner& manner)
+             std::optional<int> inherited, DescriptorBudget budget, std::uint64_t seed, const HttpProfile& profile)
     : io_(io),
       pool_(pool),
       engine_(engine),
       figures_(figures),
       names_(std::move(names)),
-      manner_(manner),
-      calls_(settings, names_, manner),
+      profile_(profile),
+      calls_(settings, names_, profile),
       protocol_(listen.protocol()),
       acceptor_(io),
       retry_(io),
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -20,7 +20,7 @@
 #include "engine/names.h"
 #include "figures/figures.h"
 #include "http/call_reader.h"
-#include "http/manner.h"
+#include "http/http_profile.h"
 #include "http/message.h"
 #include "rewrite/rewrites.h"
 #include "sessions/session_table.h"
@@ -35,7 +35,7 @@
     /// boost::system::system_error where it cannot.
     Front(boost::asio::io_context& io, BufferPool& pool, Engine& engine, figures::Figures& figures,
           const Settings& settings, Names names, const boost::asio::ip::tcp::endpoint& listen,
-          std::optional<int> inherited, DescriptorBudget budget, std::uint64_t seed, const Manner& manner = {});
+          std::optional<int> inherited, DescriptorBudget budget, std::uint64_t seed, const HttpProfile& profile = {});
 
     /// Connections are accepted from now on.
     void open();
@@ -67,7 +67,7 @@
     Engine& engine() { return engine_; }
     figures::Figures& figures() { return figures_; }
 
-    const Manner& manner() const { return manner_; }
+    const HttpProfile& profile() const { return profile_; }
     CallReader& calls() { return calls_; }
 
     /// The operators' rules for headers, for requests from now on; null: none.
@@ -110,7 +110,7 @@
     Engine& engine_;
     figures::Figures& figures_;
     Names names_;
-    Manner manner_;
+    HttpProfile profile_;
     CallReader calls_;
     boost::asio::ip::tcp protocol_;
     boost::asio::ip::tcp::acceptor acceptor_;
--- a/src/http/manner.cpp
+++ b/src/http/http_profile.cpp
@@ -1,4 +1,4 @@
-#include "http/manner.h"
+#include "http/http_profile.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -9,11 +9,11 @@
 
 constexpr double kHour = 3600000;  // ms
 
-config::Setting<Manner> time(config::Described described, std::chrono::milliseconds Manner::*into,
+config::Setting<HttpProfile> time(config::Described described, std::chrono::milliseconds HttpProfile::*into,
                              double least) {
-    return config::number<Manner, double>(
-        described, least, kHour, config::kMilliseconds, [into](Manner& manner, double ms) {
-            manner.*into = std::chrono::milliseconds(std::chrono::milliseconds::rep(ms));
+    return config::number<HttpProfile, double>(
+        described, least, kHour, config::kMilliseconds, [into](HttpProfile& profile, double ms) {
+            profile.*into = std::chrono::milliseconds(std::chrono::milliseconds::rep(ms));
         });
 }
 
@@ -29,40 +29,40 @@
     return std::find(methods.begin(), methods.end(), method) != methods.end();
 }
 
-config::Table<Manner> settings() {
+config::Table<HttpProfile> settings() {
     return {config::word({.name = "trace_id",
                           .fallback = "made",
                           .help = "a request without `X-Trace-Id`: one is `made`, or it is `required` (400)"},
-                         &Manner::makes_trace_ids, {{"made", true}, {"required", false}}),
+                         &HttpProfile::makes_trace_ids, {{"made", true}, {"required", false}}),
             config::word(
                 {.name = "pass",
                  .fallback = "all",
                  .help = "servers' answers that reach clients: `all`, those `below_500`, or `200` alone; "
                          "others are errors, for which another server is tried"},
-                &Manner::pass,
-                {{"all", Manner::Pass::All},
-                 {"below_500", Manner::Pass::Below500},
-                 {"200", Manner::Pass::Only200}}),
-            config::number<Manner, double>(
+                &HttpProfile::pass,
+                {{"all", HttpProfile::Pass::All},
+                 {"below_500", HttpProfile::Pass::Below500},
+                 {"200", HttpProfile::Pass::Only200}}),
+            config::number<HttpProfile, double>(
                 {.name = "answer_ms",
                  .fallback = "0",
                  .help = "longest time without a further byte of an answer that has begun; 0: the request's own "
                          "time"},
                 0, kHour, config::kMilliseconds,
-                [](Manner& manner, double ms) {
-                    manner.answer_most = std::chrono::milliseconds(std::chrono::milliseconds::rep(ms));
-                    manner.answer_by_request = false;
+                [](HttpProfile& profile, double ms) {
+                    profile.answer_most = std::chrono::milliseconds(std::chrono::milliseconds::rep(ms));
+                    profile.answer_by_request = false;
                 }),
             config::number({.name = "body_mb", .fallback = "0", .help = "longest body either way; 0: any"},
-                           &Manner::body_mb, 0, 1000000),
+                           &HttpProfile::body_mb, 0, 1000000),
             time({.name = "client_idle_ms",
                   .fallback = "30000",
                   .help = "a client's connection without a request is closed after this"},
-                 &Manner::client_idle, 100),
+                 &HttpProfile::client_idle, 100),
             time({.name = "request_ms",
                   .fallback = "10000",
                   .help = "a request that is not whole this long after its first byte is answered 408"},
-                 &Manner::request_most, 100)};
+                 &HttpProfile::request_most, 100)};
 }
 
 config::Table<Route> route_settings() {
@@ -89,15 +89,15 @@
              }}};
 }
 
-config::Table<Manner> probe_settings() {
+config::Table<HttpProfile> probe_settings() {
     return {{{.name = "path",
               .fallback = "/",
               .help = "what a probe GETs of a server; any answer below 500 says that it is well"},
-             [](Manner& manner, std::string_view value) -> std::string {
+             [](HttpProfile& profile, std::string_view value) -> std::string {
                  if (!value.starts_with('/') || value.find_first_of("# ") != std::string_view::npos)
                      return "is not a path: /, or /a/b";
-                 manner.probe_path = value;
-                 manner.probes_by_status = true;
+                 profile.probe_path = value;
+                 profile.probes_by_status = true;
                  return {};
              }}};
 }
--- a/src/http/manner.h
+++ b/src/http/http_profile.h
@@ -19,7 +19,7 @@
     bool lists(std::string_view method) const;
 };
 
-struct Manner {
+struct HttpProfile {
     bool makes_trace_ids = false;  ///< where a request has none; else it must have one that is not open here
     /// Which answers of servers are passed on as they are: a 200 alone, what is below 500, or any. One that
     /// is not is an error of the server's, for which another may be tried.
@@ -44,9 +44,9 @@
     std::uint64_t trace_seed = 0;
 };
 
-config::Table<Manner> settings();
+config::Table<HttpProfile> settings();
 config::Table<Route> route_settings();
 /// Beside whether there are probes at all.
-config::Table<Manner> probe_settings();
+config::Table<HttpProfile> probe_settings();
 
 }  // namespace ochrehub::http
--- a/src/http/server_pool.cpp
+++ b/src/http/server_pool.cpp
@@ -48,7 +48,7 @@
 }
 
 /// But for the platform, what a server answers counts as long as it does not say that the fault is its own.
-Outcome outcome_of(const Connection::Result& result, Manner::Pass pass) {
+Outcome outcome_of(const Connection::Result& result, HttpProfile::Pass pass) {
     using End = Connection::End;
     if (result.end == End::NotSent) return result.reusable ? Outcome::Moot : Outcome::ConnectFailed;
     if (result.end == End::Broken) return Outcome::Reset;
@@ -57,21 +57,21 @@
     if (status == 200) return Outcome::Ok;
     bool turned_away = (status == 503 || status == 504) && result.answer->header("X-Never-Ran") == "1";
     if (turned_away) return Outcome::Full;
-    return pass != Manner::Pass::Only200 && status >= 200 && status < 500 ? Outcome::Ok : Outcome::Error;
+    return pass != HttpProfile::Pass::Only200 && status >= 200 && status < 500 ? Outcome::Ok : Outcome::Error;
 }
 
 /// A probe asks how a server is, not for what it sends: that may be too large to pass on.
 Outcome outcome_of_probe(const Connection::Result& result, bool by_status) {
     using End = Connection::End;
     if (!by_status || (result.end != End::Answered && result.end != End::TooLarge))
-        return outcome_of(result, Manner::Pass::Only200);
+        return outcome_of(result, HttpProfile::Pass::Only200);
     return result.answer->status < 500 ? Outcome::Ok : Outcome::Error;
 }
 
 }  // namespace
 
 ServerPool::ServerPool(asio::io_context& io, BufferPool& pool, UpstreamEvents& events,
-                       const Settings& settings, std::size_t most_connections, const Manner& manner,
+                       const Settings& settings, std::size_t most_connections, const HttpProfile& profile,
                        Counters* counters, const Reuse& reuse)
     : io_(io),
       pool_(pool),
@@ -80,7 +80,7 @@
       idle_most_(idle_most(settings.conn_idle)),
       removal_binds_(!settings.removal_not_binding),
       most_connections_(most_connections),
-      manner_(manner),
+      profile_(profile),
       counters_(counters),
       reuse_(reuse),
       sweep_(io) {
@@ -143,8 +143,8 @@
     }
     if (!server.address || (connections_ >= most_connections_ && !make_room())) return nullptr;
     ++connections_;
-    return std::make_shared<Connection>(io_, pool_, *server.address, connect_timeout_, manner_.answer_most,
-                                        manner_.pass != Manner::Pass::Only200);
+    return std::make_shared<Connection>(io_, pool_, *server.address, connect_timeout_, profile_.answer_most,
+                                        profile_.pass != HttpProfile::Pass::Only200);
 }
 
 Duration ServerPool::soonest(const Server& server) const {
@@ -193,12 +193,12 @@
         Duration left = patience - (Connection::Steady::now() - *from);
         return left.count() > 0 ? std::optional(request_head(*request, left)) : std::nullopt;
     };
-    connection->let_stream(manner_.body_bytes());
-    if (manner_.answer_by_request) {
-        auto most = std::max<Connection::Steady::duration>(manner_.answer_most, span(patience / 4));
+    connection->let_stream(profile_.body_bytes());
+    if (profile_.answer_by_request) {
+        auto most = std::max<Connection::Steady::duration>(profile_.answer_most, span(patience / 4));
         connection->limit_answer(events_.may_repeat(id) ? most : span(Duration{0}), began + span(patience) + kStreamOver);
     } else {
-        connection->limit_answer(manner_.answer_most, std::nullopt);
+        connection->limit_answer(profile_.answer_most, std::nullopt);
     }
     // Guards rule 2: a repeat whose last byte would be written behind its window.
     connection->ask_before_more([this, id] { return events_.wanted(id); });
@@ -210,7 +210,7 @@
         },
         [this, request, began, patience, used = connection.get()] {
             if (counters_) counters_->sends.add();
-            if (request->rest && manner_.answer_by_request)
+            if (request->rest && profile_.answer_by_request)
                 used->stream_to(time_of(*request, began).value_or(began) + span(patience) + kStreamOver);
         });
 }
@@ -233,9 +233,9 @@
     else
         give_back(server, connection, result.reusable);
     AttemptResult told;
-    told.outcome = outcome_of(result, manner_.pass);
+    told.outcome = outcome_of(result, profile_.pass);
     if (result.end == Connection::End::Answered) told.report = report_of(*result.answer);
-    bool its_own_fault = told.outcome == Outcome::Error && manner_.pass == Manner::Pass::All;
+    bool its_own_fault = told.outcome == Outcome::Error && profile_.pass == HttpProfile::Pass::All;
     if (told.outcome == Outcome::Ok || (its_own_fault && result.end == Connection::End::Answered))
         told.message = std::move(result.answer);
     events_.attempt_ended(id, std::move(told));
@@ -275,7 +275,7 @@
         return;
     }
     std::string host = std::to_string(to) + ".server";
-    if (manner_.probes_by_status) {  // a server that is none of the platform's may look at it
+    if (profile_.probes_by_status) {  // a server that is none of the platform's may look at it
         const Connection::Endpoint& at = *find(to)->address;
         host = at.address().to_string() + ":" + std::to_string(at.port());
     }
@@ -287,14 +287,14 @@
         --connections_;
         events_.probe_ended(to, took(), written ? Outcome::Timeout : Outcome::ConnectFailed, {});
     });
-    connection->limit_answer(manner_.answer_most, std::nullopt);
+    connection->limit_answer(profile_.answer_most, std::nullopt);
     connection->exchange(
-        "GET " + manner_.probe_path + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n", nullptr,
+        "GET " + profile_.probe_path + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n", nullptr,
         [this, to, took, timer](const ConnectionPtr& used, const Connection::Result& result) {
             if (timer->cancel() == 0) return;  // its time ran out in this same moment
             if (result.unasked) beware();
             give_back(to, used, result.reusable);
-            Outcome outcome = outcome_of_probe(result, manner_.probes_by_status);
+            Outcome outcome = outcome_of_probe(result, profile_.probes_by_status);
             LoadReport report;
             if (result.answer && result.end == Connection::End::Answered) report = report_of(*result.answer);
             events_.probe_ended(to, took(), outcome, report);
--- a/src/http/server_pool.h
+++ b/src/http/server_pool.h
@@ -13,7 +13,7 @@
 #include "engine/counters.h"
 #include "engine/types.h"
 #include "http/connection.h"
-#include "http/manner.h"
+#include "http/http_profile.h"
 
 namespace ochrehub::http {
 
@@ -38,7 +38,7 @@
 class ServerPool : public Upstream {
 public:
     ServerPool(boost::asio::io_context& io, BufferPool& pool, UpstreamEvents& events,
-               const Settings& settings, std::size_t most_connections, const Manner& manner = {},
+               const Settings& settings, std::size_t most_connections, const HttpProfile& profile = {},
                Counters* counters = nullptr, const Reuse& reuse = {});
 
     void servers(const Listing& listing) override;
@@ -101,7 +101,7 @@
     Duration connect_timeout_, idle_most_;
     bool removal_binds_;
     std::size_t most_connections_, connections_ = 0;
-    Manner manner_;
+    HttpProfile profile_;
     Counters* counters_;
     Reuse reuse_;
     double spare_ = 0;  // handshakes for connections that need not rest
--- a/tests/server_peer.h
+++ b/tests/server_peer.h
@@ -187,8 +187,8 @@
         set.conn_idle = std::chrono::seconds(100);
         return set;
     }
-    explicit Rig(const http::Reuse& reuse = {}, const Settings& set = settings(), std::size_t most = 64, const http::Manner& manner = {}, int backlog = 64)
-        : door(backlog), servers(io, pool, events, set, most, manner, nullptr, reuse) {
+    explicit Rig(const http::Reuse& reuse = {}, const Settings& set = settings(), std::size_t most = 64, const http::HttpProfile& profile = {}, int backlog = 64)
+        : door(backlog), servers(io, pool, events, set, most, profile, nullptr, reuse) {
         stamps_begin();
         list(door.address);
     }
--- a/tests/server_pool_test.cpp
+++ b/tests/server_pool_test.cpp
@@ -490,10 +490,10 @@
 }
 
 TEST(ServerPool, AnAnswerThatStopsIsAnErrorInItsTime) {
-    http::Manner manner;
-    manner.answer_most = milliseconds(50);
-    manner.answer_by_request = false;
-    Rig rig({}, Rig::settings(), 64, manner);
+    http::HttpProfile profile;
+    profile.answer_most = milliseconds(50);
+    profile.answer_by_request = false;
+    Rig rig({}, Rig::settings(), 64, profile);
     rig.start(1);
     FarPtr far = rig.accept();
     rig.request_at(*far);
@@ -504,9 +504,9 @@
 
 // Servers stand still for longer than `answer_most`, and giving an answer up helps only a request that may go elsewhere in time.
 TEST(ServerPool, AnAnswerMayStopForAQuarterOfItsRequestsTime) {
-    http::Manner manner;
-    manner.answer_most = milliseconds(20);
-    Rig rig({}, Rig::settings(), 64, manner);
+    http::HttpProfile profile;
+    profile.answer_most = milliseconds(20);
+    Rig rig({}, Rig::settings(), 64, profile);
     rig.start(1, std::chrono::seconds(4));
     FarPtr far = rig.accept();
     rig.request_at(*far);
@@ -518,9 +518,9 @@
 }
 
 TEST(ServerPool, AnAnswerToWhatMayNotBeSentAgainMayStopForAllItsTime) {
-    http::Manner manner;
-    manner.answer_most = milliseconds(20);
-    Rig rig({}, Rig::settings(), 64, manner);
+    http::HttpProfile profile;
+    profile.answer_most = milliseconds(20);
+    Rig rig({}, Rig::settings(), 64, profile);
     rig.events.repeatable = [](AttemptId id) { return id.request != 1; };
     rig.start(1, milliseconds(40));
     FarPtr far = rig.accept();
@@ -535,10 +535,10 @@
 }
 
 TEST(ServerPool, AnAnswerThatGoesOnInTheTurnInWhichItsTimeEndsIsReadOn) {
-    http::Manner manner;
-    manner.answer_most = milliseconds(1000);
-    manner.answer_by_request = false;
-    Rig rig({}, Rig::settings(), 64, manner);
+    http::HttpProfile profile;
+    profile.answer_most = milliseconds(1000);
+    profile.answer_by_request = false;
+    Rig rig({}, Rig::settings(), 64, profile);
     rig.start(1);
     FarPtr far = rig.accept();
     rig.request_at(*far);
@@ -556,10 +556,10 @@
 
 // They are bounded by the attempt's own time, and the time for more of an answer is not theirs.
 TEST(ServerPool, InterimAnswersMayTakeAsLongAsTheAttempt) {
-    http::Manner manner;
-    manner.answer_most = milliseconds(20);
-    manner.answer_by_request = false;
-    Rig rig(always_rested(), Rig::settings(), 64, manner);
+    http::HttpProfile profile;
+    profile.answer_most = milliseconds(20);
+    profile.answer_by_request = false;
+    Rig rig(always_rested(), Rig::settings(), 64, profile);
     rig.start(1);
     FarPtr far = rig.accept();
     rig.request_at(*far);
@@ -600,9 +600,9 @@
 TEST(ServerPool, AProbesLongAnswerCountsByItsStatusAlone) {
     for (bool by_status : {false, true})
         for (int status : {200, 503}) {
-            http::Manner manner;
-            manner.probes_by_status = by_status;
-            Rig rig({}, Rig::settings(), 64, manner);
+            http::HttpProfile profile;
+            profile.probes_by_status = by_status;
+            Rig rig({}, Rig::settings(), 64, profile);
             rig.servers.probe(Rig::kServer, std::chrono::seconds(60));
             FarPtr far = rig.accept();
             rig.request_at(*far);
@@ -966,9 +966,9 @@
 }
 
 TEST(ServerPool, AStreamMayStopWhileItsRequestHasTime) {
-    http::Manner manner;
-    manner.answer_most = milliseconds(20);
-    Rig rig({}, Rig::settings(), 64, manner);
+    http::HttpProfile profile;
+    profile.answer_most = milliseconds(20);
+    Rig rig({}, Rig::settings(), 64, profile);
     rig.start(1);
     FarPtr far = rig.accept();
     http::BodyStream& rest = streaming(rig, *far);
