Rename Pair to InstanceLock

Need: names follow the standard terms of the field. Identifiers and their mentions alone; nothing acts otherwise.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -32,7 +32,7 @@
 #include "http/front.h"
 #include "http/server_pool.h"
 #include "fleet/membership/side.h"
-#include "takeover/pair.h"
+#include "takeover/instance_lock.h"
 
 namespace ochrehub::app {
 namespace {
@@ -125,13 +125,13 @@
 public:
     Twins(asio::io_context& io, const std::string& folder, const std::string& files,
           std::function<void(bool)> tell)
-        : timer_(io), tell_(std::move(tell)), pair_(folder, files) {
+        : timer_(io), tell_(std::move(tell)), instance_lock_(folder, files) {
         look();
     }
 
 private:
     void look() {
-        if (bool twin = pair_.twin(); twin != std::exchange(twin_, twin)) {
+        if (bool twin = instance_lock_.twin(); twin != std::exchange(twin_, twin)) {
             log_line(twin ? "another process of this node lives: limits are halved"
                           : "alone: limits are whole again");
             tell_(twin);
@@ -144,7 +144,7 @@
 
     asio::steady_timer timer_;
     std::function<void(bool)> tell_;
-    takeover::Pair pair_;
+    takeover::InstanceLock instance_lock_;
     bool twin_ = false;
 };
 
--- a/src/takeover/pair.cpp
+++ b/src/takeover/instance_lock.cpp
@@ -1,4 +1,4 @@
-#include "takeover/pair.h"
+#include "takeover/instance_lock.h"
 
 #include <fcntl.h>
 #include <unistd.h>
@@ -16,7 +16,7 @@
 }  // namespace
 
 // Locks of open file descriptions: asking whether one is held takes none, so two that ask do not meet each other.
-Pair::Pair(const std::string& folder, const std::string& prefix) {
+InstanceLock::InstanceLock(const std::string& folder, const std::string& prefix) {
     for (int i = 0; i < 2; ++i) {
         std::string path = folder + "/" + prefix + (i == 0 ? ".a" : ".b");
         files_[i] = open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
@@ -25,12 +25,12 @@
     }
 }
 
-Pair::~Pair() {
+InstanceLock::~InstanceLock() {
     for (int file : files_)
         if (file >= 0) close(file);
 }
 
-bool Pair::twin() const {
+bool InstanceLock::twin() const {
     for (int i = 0; i < 2; ++i) {
         if (i == mine_ || files_[i] < 0) continue;
         struct flock lock = whole_file(F_WRLCK);
--- a/src/takeover/pair.h
+++ b/src/takeover/instance_lock.h
@@ -6,13 +6,13 @@
 
 namespace ochrehub::takeover {
 
-class Pair {
+class InstanceLock {
 public:
     /// In `folder`, under names that begin with `prefix`. Where nothing can be locked there the process is alone.
-    Pair(const std::string& folder, const std::string& prefix);
-    ~Pair();
-    Pair(const Pair&) = delete;
-    Pair& operator=(const Pair&) = delete;
+    InstanceLock(const std::string& folder, const std::string& prefix);
+    ~InstanceLock();
+    InstanceLock(const InstanceLock&) = delete;
+    InstanceLock& operator=(const InstanceLock&) = delete;
 
     /// Another process of this node lives. One that cannot be seen does not count.
     bool twin() const;
--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -15,7 +15,7 @@
 #include "admin/metrics.h"
 #include "takeover/manual_overrides.h"
 #include "takeover/inherited.h"
-#include "takeover/pair.h"
+#include "takeover/instance_lock.h"
 #include "takeover/store.h"
 
 namespace ochrehub {
@@ -144,20 +144,20 @@
     EXPECT_TRUE(none.take_out("a"));
 }
 
-TEST(Pair, ATwinIsSeenFromBothSidesUntilItEnds) {
+TEST(InstanceLock, ATwinIsSeenFromBothSidesUntilItEnds) {
     Folder folder;
-    takeover::Pair first(folder.path, "n");
+    takeover::InstanceLock first(folder.path, "n");
     EXPECT_TRUE(first.placed());
     EXPECT_FALSE(first.twin());
     {
-        takeover::Pair second(folder.path, "n");
+        takeover::InstanceLock second(folder.path, "n");
         EXPECT_TRUE(second.placed());
         EXPECT_TRUE(first.twin());
         EXPECT_TRUE(second.twin());
-        EXPECT_FALSE(takeover::Pair(folder.path, "n").placed());
+        EXPECT_FALSE(takeover::InstanceLock(folder.path, "n").placed());
     }
     EXPECT_FALSE(first.twin());
-    EXPECT_FALSE(takeover::Pair(folder.path + "/none", "n").twin());
+    EXPECT_FALSE(takeover::InstanceLock(folder.path + "/none", "n").twin());
 }
 
 TEST(Inherited, OnlyAListeningTcpSocketWillDo) {
