--- a/src/admin/side.cpp
+++ b/src/admin/side.cpp
@@ -31,6 +31,9 @@
              [this](const std::string& id, bool out) { return take(id, out); }, fleet.members}) {
     tell({});
     look();
+}
+
+void Side::start() {
     thread_ = side_thread(io_, [](const std::exception& error) {
         log_line(LogLevel::Error, "control: %s: it answers no more", error.what());
     });
@@ -38,7 +41,7 @@
 
 Side::~Side() {
     io_.stop();
-    thread_.join();
+    if (thread_.joinable()) thread_.join();
 }
 
 void Side::listed(const Listing& listing) {
--- a/src/admin/side.h
+++ b/src/admin/side.h
@@ -41,6 +41,8 @@
     ~Side();
 
     // For the node's loop.
+    /// Answers calls from now on: what came before waits. Once the node has handled the list that it was started with.
+    void start();
     void listed(const Listing& listing);
     void serves(bool does) { serves_.store(does, std::memory_order_relaxed); }
 
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -297,6 +297,7 @@
         if (config.inherited && !folder.empty()) twins.emplace(io, folder, files, halve);
     });
     servers.begin(plan);
+    if (side) side->start();
     auto apply = [&] {
         const rewrite::Rewrites& rewrites = plan.operators.rewrites;
         if (rules) {
