Partition the module's order without ranges, which Clang 14 refuses here

The sanitizers' build failed: Clang 14 does not take the subrange that libstdc++ 12 returns from ranges::stable_partition. The same actions: the algorithm is the same.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -360,7 +360,7 @@
         const Subset& shares = shares_.of(keys, set_.balancers, set_.me, shared);
         for (std::size_t k = 0; k < shares.users.size(); ++k)
             servers_[order_[k]].users = shares.mine[k] ? shares.users[k] : -1;
-        std::ranges::stable_partition(order_, [this](std::size_t i) { return servers_[i].users >= 0; });
+        std::stable_partition(order_.begin(), order_.end(), [&](auto i) { return servers_[i].users >= 0; });
     }
 
     double sharers() const {  // gateways that use a server, if all have subsets like this one's
