Say that the node stops once it is no longer ready

exchange.operations failed under sanitizers (twice of two, at a load of 12): the log said that the node stops before its readiness was withdrawn, and whoever asked behind that line could still be told ready. The line and the audit's record come behind it now.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -383,12 +383,12 @@
     };
     stop.async_wait([&](boost::system::error_code error, int signal) {
         if (error) return;
-        log_line("stopping: %zu requests to answer", engine.open_requests());
-        record("stop", signal == SIGINT ? "SIGINT" : "SIGTERM",
-               std::to_string(engine.open_requests()) + " requests to answer");
         front->drain();
         if (fleet) fleet->leave();
         show();
+        log_line("stopping: %zu requests to answer", engine.open_requests());  // what it says is seen by then
+        record("stop", signal == SIGINT ? "SIGINT" : "SIGTERM",
+               std::to_string(engine.open_requests()) + " requests to answer");
         stopped_at = std::chrono::steady_clock::now();
         end_when_quiet();
     });
