--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -20,6 +20,7 @@
 constexpr std::chrono::milliseconds kHoldMost{50};  // a long answer, or one of unknown length, before it is passed on
 // For a further byte of one that has been passed on in part, behind its time, where whoever takes it was the slow one.
 constexpr Connection::Steady::duration kHeldUp = std::chrono::milliseconds(300);
+constexpr std::chrono::milliseconds kStreamMost{15000};  // no further byte of one that has been passed on in part
 constexpr std::chrono::milliseconds kDryRest{20};
 
 /// A kernel that cannot stamp leaves open when bytes came: then they came when they are read.
@@ -343,6 +344,8 @@
         auto left = *stream_by_ - Steady::now();
         if (left.count() <= 0 && !held_up_) return finish(End::Garbage), false;
         most = held_up_ ? std::max(left, std::max(answer_most_, kHeldUp)) : left;
+    } else if (stream_) {
+        most = kStreamMost;
     } else if (most.count() == 0) {
         return true;
     }
--- a/src/http/http_profile.h
+++ b/src/http/http_profile.h
@@ -33,6 +33,8 @@
     /// Servers are known to stand still for longer than that: a quarter of the request's time counts where it is more, and a
     /// request that may not be sent again has all of its time.
     bool answer_by_request = true;
+    /// One that has been passed on in part ends with its request's time. Not the platform's: there a long answer may go on.
+    bool streams_end = false;
     /// MB of a body; zero: any. Guards against answers whose length makes no sense: once one has begun to go out, no
     /// other server can be asked. The platform's reach 32.
     std::size_t body_mb = 40;
--- a/src/http/server_pool.cpp
+++ b/src/http/server_pool.cpp
@@ -196,7 +196,9 @@
     connection->let_stream(profile_.body_bytes());
     if (profile_.answer_by_request) {
         auto most = std::max<Connection::Steady::duration>(profile_.answer_most, span(patience / 4));
-        connection->limit_answer(events_.may_repeat(id) ? most : span(Duration{0}), began + span(patience) + kStreamOver);
+        std::optional<Connection::Steady::time_point> stream_by;
+        if (profile_.streams_end) stream_by = began + span(patience) + kStreamOver;
+        connection->limit_answer(events_.may_repeat(id) ? most : span(Duration{0}), stream_by);
     } else {
         connection->limit_answer(profile_.answer_most, std::nullopt);
     }
@@ -210,7 +212,7 @@
         },
         [this, request, began, patience, used = connection.get()] {
             if (counters_) counters_->sends.add();
-            if (request->rest && profile_.answer_by_request)
+            if (request->rest && profile_.answer_by_request && profile_.streams_end)
                 used->stream_to(time_of(*request, began).value_or(began) + span(patience) + kStreamOver);
         });
 }
