Wait for the connection that is asked for, not for the figure ahead of it

Of its 42 rows end_while_connecting alone had printed nothing, no assert had failed, and each part that hangs ends by its alarm at 60 s, so that row hung. It halted the node as soon as the second address told of the request. That address has a thread of its own: it may tell of the request before the node's loop has asked for the connection, and what is halted then never asks, so that the accept behind it waits for good. By reading: a second connection left in the queue would leave no room for the next filler. Change: the row waits until the system has asked for the connection (SYN_SENT to that server), and accepts what is left over. The run says which part ended how; before, a part that hung said nothing.

--- a/tests/endings_clients_run.cpp
+++ b/tests/endings_clients_run.cpp
@@ -45,10 +45,13 @@
         _exit(0);
     }
     bool well = true;
-    for (pid_t child : children) {
+    for (std::size_t i = 0; i < children.size(); ++i) {
         int status = -1;
-        waitpid(child, &status, 0);
-        well = well && WIFEXITED(status) && WEXITSTATUS(status) == 0;
+        waitpid(children[i], &status, 0);
+        if (WIFEXITED(status) && WEXITSTATUS(status) == 0) continue;
+        well = false;
+        std::printf("the part from %s on ended with status %d, signal %d\n", parts[i].front().name,
+                    WIFEXITED(status) ? WEXITSTATUS(status) : -1, WIFSIGNALED(status) ? WTERMSIG(status) : 0);
     }
     return well ? 0 : 1;
 }
--- a/tests/endings_leaving.cpp
+++ b/tests/endings_leaving.cpp
@@ -255,7 +255,7 @@
     for (Leave how : kLeaves) {
         int filler = connected(slow.at), fd = world.connect();
         put(fd, "GET /look?leaves HTTP/1.1\r\nHost: n\r\nX-Trace-Id: " + std::to_string(next_id++) + "\r\n\r\n");
-        while (node.figure("app_current") != 1) usleep(1000);
+        until_asked_for(slow.at);  // its figures tell of the request before its system has asked for the connection
         Far far(fd);
         halt(node);
         leave(fd, how);
@@ -287,6 +287,8 @@
         put(server, kOk);
         others.join();
         open.push_back(server);
+        pollfd more{slow.fd, POLLIN, 0};  // one that lay there would leave no room for the next one's filler
+        while (poll(&more, 1, 0) > 0) open.push_back(accept4(slow.fd, nullptr, nullptr, SOCK_CLOEXEC));
         for (int each : open) close(each);
         open.clear();
         close(filler), close(stays), end(fd);
--- a/tests/endings_run.h
+++ b/tests/endings_run.h
@@ -225,6 +225,17 @@
     std::string key_;
 };
 
+/// The node's system has asked for a connection to `to`, and has had no answer yet.
+inline void until_asked_for(const sockaddr_in& to) {
+    char asked[24];
+    std::snprintf(asked, sizeof asked, " %08X:%04X %02X ", unsigned(to.sin_addr.s_addr), unsigned(ntohs(to.sin_port)),
+                  unsigned(TCP_SYN_SENT));
+    for (bool found = false; !found; usleep(100)) {
+        std::ifstream table("/proc/net/tcp");
+        for (std::string line; !found && std::getline(table, line);) found = line.find(asked) != std::string::npos;
+    }
+}
+
 /// 0: it ended; -1: it was reset; else a byte came.
 inline int next_byte(int fd) {
     char byte = 0;
