Hold the cold ramp with 300 processes: size served, drawn subsets, usual times

Ruled out: chance in the most that was served (1.5 deviations less changed no verdict; left out). Change: served is counted by size as it is served; where a server is in eight subsets or more who did not draw it sends it nothing while it is cold; a scaled time counts only down to the usual one; an unknown time is taken for 0.4 of the aim there. Tests: the red test is green and plain now, and its two rows are back in the table; both failed without.

--- a/lab/tests/cold_fleet_test.cpp
+++ b/lab/tests/cold_fleet_test.cpp
@@ -24,24 +24,17 @@
 
 class ColdFleet : public ::testing::TestWithParam<int> {};
 
-bool known_to_go_over(const ColdDay& day) {  // see TenServersOrTwoSizesThatComeBackOver300Processes
-    return day.processes == 300 && (day.name == "binds, ten come back" || day.name == "binds, two sizes");
-}
-
 TEST_P(ColdFleet, SendsNoMoreThanTheBudgetAndWhatChanceAllows) {
     for (const ColdDay& day : cold_days(GetParam())) {
-        if (known_to_go_over(day)) continue;
         EXPECT_LE(run(day, 1).worst, 1) << day.name;
     }
 }
 
-// In KNOWN-RED.txt: what all servers got served of late is shared out over those that are listed now, so that the first one
-// back is taken to carry what all did.
-TEST(ColdFleetRed, TenServersOrTwoSizesThatComeBackOver300Processes) {
-    for (const ColdDay& day : cold_days(300)) {
-        if (!known_to_go_over(day)) continue;
-        EXPECT_FALSE(goes_over(day)) << day.name;
-    }
+// What all servers got served of late was shared out over those that are listed now, so that the first one back was taken to
+// carry what all did; and processes whose subset turned away widened it to servers that counted on fewer.
+TEST(ColdFleetLarge, TenServersOrTwoSizesThatComeBackOver300Processes) {
+    for (const char* name : {"binds, ten come back", "binds, two sizes"}) 
+        EXPECT_FALSE(goes_over(condition(300, name))) << name;
 }
 
 INSTANTIATE_TEST_SUITE_P(Processes, ColdFleet, ::testing::Values(1, 3, 20, 30, 300));
@@ -104,6 +97,7 @@
 TEST(ColdWorld, AFirstSpanThatIsTakenWholeIsFound) {
     for (int processes : {20, 30}) {
         ColdDay day = condition(processes, "binds, tight, a loop");
+        day.work = {{20, 0, 1}}, day.aim = 30;  // shorter ones: the more may be sent, the less is put down to chance
         EXPECT_FALSE(goes_over(day)) << processes;
         day.twin = Twin::FirstSpanWhole;
         EXPECT_TRUE(goes_over(day)) << processes;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -46,6 +46,7 @@
 constexpr double kColdMargin = 0.75;     // part of a cold server's budget that is used: handshakes, chance
 constexpr double kColdSenders = 1.3;     // room for lists that differ for a while, and with them the shares
 constexpr double kColdReserve = 0.4, kColdConnect = 1.5;  // less roots of sends; sends of one that connects
+constexpr double kColdDrawn = 8;  // as many who drew a server leave none to nobody
 constexpr Duration kRateOver{5000};      // time over which rates are told
 constexpr Duration kServedFade{60000};   // how long the most that this gateway got served is believed
 constexpr double kPaceGain = 0.15, kFleetPaceGain = 0.06;  // weight of one answer: in one's, in all's
@@ -185,8 +186,7 @@
     std::size_t avoided() const { return avoided_; }
 
     void handle(TimePoint now, const Event& event, Actions& actions) {
-        now_ = now, begun_ = std::min(begun_, now);
-        out_ = &actions;
+        now_ = now, begun_ = std::min(begun_, now), out_ = &actions;
         std::visit([this](const auto& e) { on(e); }, event);
         choose_members();
         serve_queue();
@@ -316,7 +316,7 @@
             if (wanted == 0) here_ = order_.size();
         }
         if (!zoned() || here_ == 0) here_ = order_.size();  // nobody here: there is no crossing to save
-        for (std::size_t i : order_) total_size_ += servers_[i].entry.size;
+        for (std::size_t i : order_) total_size_ += set_.live_sizes ? 1 : servers_[i].entry.size;
         width_ = width_at(arrivals_.value);
         for (Server& s : servers_) s.users = 0, s.member = false;
         share_out_servers();
@@ -329,8 +329,7 @@
                 s.last_send = now_ - uniform() * floor_ms() / s.limit * Duration{1};
             }
             bool down = s.health == Health::Unhealthy;
-            unhealthy_ += down;
-            avoided_ -= s.listed && !down;
+            unhealthy_ += down, avoided_ -= s.listed && !down;
             if (!down && members_ >= width_) continue;
             s.member = !down, members_ += !down;
             // One that was away meanwhile is probed no more; nothing else brings it back where it is down.
@@ -501,7 +500,9 @@
     // much. Under one send a span a draw says who sends; the first span ends at a drawn time: those told
     // together do not send together. A process leaves room for what one before it in its place may have sent.
     bool cold_room(Server& s, double usual) {
-        if (share(s) >= 1 || s.users < 0) return share(s) >= 1;
+        // Drawn subsets cover all servers where many use each: then whoever widens its own sends no more.
+        bool drawn = s.users == 0 && !s.member && s.health != Health::Unhealthy && sharers() > kColdDrawn;
+        if (share(s) >= 1 || s.users < 0 || drawn) return share(s) >= 1;
         std::erase_if(s.cold_sends, [this](const auto& a) { return a.first <= now_ - set_.tip_after; });
         if (now_ >= s.cold_until) {
             s.cold_span = set_.tip_after;
@@ -517,15 +518,16 @@
     }
 
     double cold_cost(const Request& r, const Server& s) const {  // with the connection that a first one opens
-        return state(r).floor_ms * (s.connected || !s.cold_sends.empty() ? 1 : kColdConnect);
+        double usual = state(r).answers > 0 ? state(r).floor_ms : kFloorMax * cls(r).aim.count();  // at most
+        return usual * (s.connected || !s.cold_sends.empty() ? 1 : kColdConnect);
     }
 
-    // Usual times a second that such a server is seen to carry: by its slots, or its part of the most that
-    // this gateway got served of late (what is served now falls by its own fall). Less if it answers slowly.
+    // Usual times a second that such a server is seen to carry: by its slots, or as the most that each got
+    // served of late for its size (what is served now falls by its own fall). Less if it answers slowly.
     double carried(const Server& s) const {
-        double size = set_.live_sizes ? total_size_ / double(order_.size()) : s.entry.size;
+        double size = set_.live_sizes ? 1 : s.entry.size;
         double slots = std::max(1.0, slots_) * 1000 / 1.5 * (set_.live_sizes ? 1 : size / largest_);
-        double served = most_served_.left(now_, kServedFade) * set_.balancers * size / total_size_;
+        double served = most_served_.left(now_, kServedFade) * set_.balancers * size;
         return std::max(slots, served) * std::min(1.0, fleet_pace() / pace(s));
     }
 
@@ -581,12 +583,14 @@
         // Settles near the lower third of the answers: those that met no queue. Never above a set part of the
         // aim: a slow spell must not teach that nothing can be served. Exception: where answers take more at
         // their best, the least of late. Guards against limits that never grow.
-        for (double* at : {&c.floor_ms, &c.seen_ms}) *at += (ms < *at ? 0.04 : 0.02) * (ms - *at);
+        double took = std::max(ms, std::min(elapsed.count(), c.floor_ms));  // a cold one may be as quick
+        for (double* at : {&c.floor_ms, &c.seen_ms}) *at += (took < *at ? 0.04 : 0.02) * (took - *at);
         c.least = {std::min(c.seen_ms, c.least.left(now_, -kFloorRise)), now_};
         double most = kFloorMax * cls(r).aim.count();
         if (c.answers >= kFloorKnown && c.least.value > most) most = kFloorOver * c.least.value;
         c.floor_ms = std::min(c.floor_ms, most);
-        served_ = {served_.left(now_, kRateOver) + 0.2 * c.floor_ms, now_};
+        double each = total_size_ > 0 ? 0.2 * c.floor_ms / total_size_ : 0;
+        served_ = {served_.left(now_, kRateOver) + each, now_};
         most_served_ = {std::max(served_.value, most_served_.left(now_, kServedFade)), now_};
         double ratio = ms / std::max(1e-3, c.floor_ms) / queueing(a.held);
         learn_pace(s, ratio);
@@ -635,8 +639,7 @@
         double total = 0;
         turn_order_.clear(), sorted_ = 0;
         for (int tries = 0; tries < kWidenings && turn_order_.empty() && from < to; ++tries) {
-            group_.clear();
-            total = 0;
+            group_.clear(), total = 0;
             std::size_t busy = 0;
             for (; from < to && group_.size() < width_; ++from) {
                 std::size_t i = order_[from];
@@ -820,10 +823,7 @@
         Server& s = servers_[i];
         r.queued = false;
         bool idled = s.connected && s.own == 0 && now_ - s.used_at > kIdleFrom;
-        if (idled && reaped() && uniform() >= kIdleGain) {
-            emit(Close{s.id});
-            idled = false;
-        }
+        if (idled && reaped() && uniform() >= kIdleGain) emit(Close{s.id}), idled = false;
         s.used_at = now_;
         r.attempts.push_back({i, now_, Fate::Open, false, false, idled, int(held(s))});
         ++r.open, ++s.own, ++s.refs;
@@ -842,9 +842,7 @@
     void on(const Uploaded& e) {  // a body that is long in coming says nothing of the server
         Request* r = find(e.request);
         if (!r) return;
-        r->uploading = false;
-        r->useful_until += e.give_up_at - r->give_up_at;
-        r->give_up_at = e.give_up_at;
+        r->uploading = false, r->useful_until += e.give_up_at - r->give_up_at, r->give_up_at = e.give_up_at;
         if (r->open > 0) expect_answer(*r, servers_[r->attempts.back().server]);
     }
 
