Use as many servers as the requests need, however dear a probe is

Cause: how many servers a gateway uses was weighed by what probes and connections cost alone. Change: two servers at least for each request that one holds, by what was served of late.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -29,6 +29,7 @@
 constexpr std::size_t kLookWidth = 2;    // servers looked at together: the one in turn and the next
 constexpr double kSubsetWorth = 0.05;    // what a second server in use gains, as a share of the result
 constexpr std::size_t kSubsetLeast = 3;  // a look at two, and one to spare
+constexpr double kBusyRoom = 2;          // servers for each request that one holds, whatever they cost
 constexpr int kWidenings = 3;            // times that one request goes past a busy or lost subset
 constexpr Duration kShutFirst{1000};  // a live server that takes no connection is left for this, then twice
 constexpr Duration kFullRest{300};    // a server that turns work away unseen is left for about this
@@ -317,7 +318,8 @@
         }
         if (!zoned() || here_ == 0) here_ = order_.size();  // nobody here: there is no crossing to save
         for (std::size_t i : order_) total_size_ += set_.live_sizes ? 1 : servers_[i].entry.size;
-        width_ = width_at(arrivals_.value);
+        double busy = served_.left(now_, kRateOver) * total_size_ / 1000;  // held by servers, as of late
+        width_ = std::max(width_at(arrivals_.value), std::min(order_.size(), std::size_t(kBusyRoom * busy)));
         for (Server& s : servers_) s.users = 0, s.member = false;
         share_out_servers();
         members_ = unhealthy_ = 0;
--- a/tests/drawn_settings_test.cpp
+++ b/tests/drawn_settings_test.cpp
@@ -432,5 +432,29 @@
     }
 }
 
+// How many servers are used was weighed by what probes cost alone, whatever the requests needed.
+TEST(DearProbes, LeaveNoServerUnusedThatIsNeeded) {
+    for (double price : {0.06, 0.2, 1.0})
+        for (double load : {0.4, 0.6}) {
+            Drawn d = draw(1);
+            d.servers = 8, d.slots = 2, d.zones = 1, d.cells = 1, d.leave = 0, d.way_ms = d.cross_ms = 0.3;
+            d.took_ms = {300}, d.mix = {1}, d.spread = 0.3, d.load = load, d.length_ms = 30'000;
+            d.fault = Fault::Full, d.struck = 1;
+            Settings set;
+            set.balancers = 1, set.probes = true, set.probes_report_load = false, set.cancel = true;
+            set.granularity = Duration{1}, set.max_attempts = 3;
+            set.price_probe = price, set.price_connection = 0.05;
+            ClassSettings unsafe;
+            unsafe.aim = Duration{800}, unsafe.give_up = Duration{1200}, unsafe.gain = 1, unsafe.late_worth = 0.5;
+            unsafe.effect = Effect::SingleShot;
+            set.classes = {unsafe};
+            d.set = set;
+            DrawnDay day(d);
+            day.run();
+            for (const std::string& what : day.breaks) ADD_FAILURE() << price << ", " << load << ": " << what;
+            EXPECT_GT(day.by_class[0].served, 0.85 * day.by_class[0].asked) << price << ", " << load << " of " << day.by_class[0].asked;
+        }
+}
+
 }  // namespace
 }  // namespace ochrehub::testing
