Let the first address count on when discovery moves twice before it answers

Change: an address that is left before it has answered is let go instead. Test: AfterTwoMovesTheFirstAddressCountsUntilTheLastOneHasAnswered, seen to fail without (revision 0); 51 of 51 clock tests and 14 of 14 of the watcher with it.

--- a/lab/tests/watch_clocks_test.cpp
+++ b/lab/tests/watch_clocks_test.cpp
@@ -349,6 +349,22 @@
     EXPECT_EQ(fleet.nodes[0].failed, 1u);
 }
 
+TEST(Watching, AfterTwoMovesTheFirstAddressCountsUntilTheLastOneHasAnswered) {
+    Nodes fleet(1);
+    fleet.run_to(at(1000));
+    fleet.unanswered_until = at(3000);
+    fleet.hand(0, discovery::Moved{});
+    fleet.run_to(at(1200));
+    fleet.hand(0, discovery::Moved{});  // the second address has not answered yet, and nor has the third
+    fleet.drain();
+    fleet.run_to(at(1300));
+    EXPECT_EQ(fleet.nodes[0].revision, fleet.changed) << "what the first address said is lost";
+    fleet.run_to(at(3300));
+    fleet.hand(0, discovery::Asked{});
+    fleet.run_to(at(3400));
+    EXPECT_EQ(fleet.nodes[0].failed, 1u);
+}
+
 TEST(Watching, WhatIsRefusedWithoutASilenceIsTheModulesToRepeat) {
     Nodes fleet(1);
     fleet.run_to(at(1000));
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -31,6 +31,8 @@
 }
 
 void Watch::on(const Moved&) {
+    // An address that is left before it has answered has told nothing: the one before it goes on counting.
+    if (kept_elsewhere_ && kept_ != 0 && !has_list_) drop(out_);
     has_list_ = false;
     silent_since_.reset();
     // What is out at the old address counts until the new one has answered: no change is missed between them.
