Count a send to a cold server at what warm ones take, and leave usual times alone

Change: the usual time falls as before; a send to a cold server costs what warm ones take, if that is more.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -152,7 +152,7 @@
 };
 
 struct ClassState {
-    double floor_ms = 0, seen_ms = 0;  // time of an answer that did not wait: as believed, as seen
+    double floor_ms = 0, seen_ms = 0, warm_ms = 0;  // of answers that did not wait: believed, seen, when warm
     Fading least;                      // the least of the latter; rises by itself
     int answers = 0;
 };
@@ -519,8 +519,10 @@
         return sent + kColdReserve * std::sqrt(sent * usual) + (1 - s.cold_draw) * usual <= budget;
     }
 
-    double cold_cost(const Request& r, const Server& s) const {  // with the connection that a first one opens
-        double usual = state(r).answers > 0 ? state(r).floor_ms : kFloorMax * cls(r).aim.count();  // at most
+    // With a first one's connection; by warm answers too, as a cold server may be as quick.
+    double cold_cost(const Request& r, const Server& s) const {
+        double most = kFloorMax * cls(r).aim.count(), known = std::max(state(r).floor_ms, state(r).warm_ms);
+        double usual = state(r).answers > 0 ? known : most;
         return usual * (s.connected || !s.cold_sends.empty() ? 1 : kColdConnect);
     }
 
@@ -581,12 +583,12 @@
         s.errors -= kErrorGain * s.errors, errors_ -= kFleetPaceGain * errors_;
         ClassState& c = class_state_[std::size_t(r.cls)];
         double ms = elapsed.count() * share(s);
-        if (c.answers++ == 0) c.floor_ms = c.seen_ms = c.least.value = ms, c.least.at = now_;
+        if (c.answers++ == 0) c.floor_ms = c.seen_ms = c.warm_ms = c.least.value = ms, c.least.at = now_;
         // Settles near the lower third of the answers: those that met no queue. Never above a set part of the
         // aim: a slow spell must not teach that nothing can be served. Exception: where answers take more at
         // their best, the least of late. Guards against limits that never grow.
-        double took = std::max(ms, std::min(elapsed.count(), c.floor_ms));  // a cold one may be as quick
-        for (double* at : {&c.floor_ms, &c.seen_ms}) *at += (took < *at ? 0.04 : 0.02) * (took - *at);
+        auto settle = [ms](double& at) { at += (ms < at ? 0.04 : 0.02) * (ms - at); };
+        settle(c.floor_ms), settle(c.seen_ms), share(s) >= 1 ? settle(c.warm_ms) : void();
         c.least = {std::min(c.seen_ms, c.least.left(now_, -kFloorRise)), now_};
         double most = kFloorMax * cls(r).aim.count();
         if (c.answers >= kFloorKnown && c.least.value > most) most = kFloorOver * c.least.value;
@@ -768,8 +770,7 @@
         tokens = std::min(std::max(kBurst, quota), tokens + quota * (now_ - at).count() / 1000);
         at = now_;
         if (tokens < 1) return true;
-        tokens -= 1;
-        return false;
+        return tokens -= 1, false;
     }
 
     Duration start_by(const Request& r) const {  // latest useful start, from now
@@ -828,8 +829,7 @@
         if (idled && reaped() && uniform() >= kIdleGain) emit(Close{s.id}), idled = false;
         s.used_at = now_;
         r.attempts.push_back({i, now_, Fate::Open, false, false, idled, int(held(s))});
-        ++r.open, ++s.own, ++s.refs;
-        s.last_send = now_;
+        ++r.open, ++s.own, ++s.refs, s.last_send = now_;
         if (share(s) < 1) s.cold_sends.emplace_back(now_, cold_cost(r, s));
         bool timed = set_.cancel && !r.uploading;
         emit(Forward{r.id, s.id, timed ? r.useful_until - now_ : Duration{0}, r.repeat_by});
