Believe what warm ones take no further than the usual time is believed

A process that takes over begins with few answers, and what warm servers take was believed as the first slow ones said, so that servers put back cold got next to nothing. Change: capped as the usual time is. Test: ASlowFirstAnswerDoesNotKeepWorkFromAColdServer, seen to fail without (6 sends, 9 asked).

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -592,7 +592,7 @@
         c.least = {std::min(c.seen_ms, c.least.left(now_, -kFloorRise)), now_};
         double most = kFloorMax * cls(r).aim.count();
         if (c.answers >= kFloorKnown && c.least.value > most) most = kFloorOver * c.least.value;
-        c.floor_ms = std::min(c.floor_ms, most);
+        c.floor_ms = std::min(c.floor_ms, most), c.warm_ms = std::min(c.warm_ms, most);
         double each = total_size_ > 0 ? 0.2 * c.floor_ms / total_size_ : 0;
         served_ = {served_.left(now_, kRateOver) + each, now_};
         most_served_ = {std::max(served_.value, most_served_.left(now_, kServedFade)), now_};
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -746,6 +746,41 @@
     EXPECT_GE(sends_at(true, 0.1), 20);
 }
 
+// What warm ones take was believed as it came: a process whose first answer was slow sent a cold server next to nothing.
+TEST(ColdStart, ASlowFirstAnswerDoesNotKeepWorkFromAColdServer) {
+    auto sends = [](double first_ms) {
+        Settings set = unprobed();
+        set.classes.resize(1);
+        Gateway g(set);
+        std::vector<ListEntry> fleet = {entry(1), entry(2), entry(3)};
+        g.list(0, fleet);
+        std::multimap<double, std::pair<RequestId, ServerId>> under_way;
+        RequestId id = 0;
+        int sent = 0;
+        for (double t = 1; t < 1500; t += 10) {
+            if (id == 12) {
+                fleet.push_back(entry(4));
+                fleet.back().last_start = at(t);
+                g.list(t, fleet);
+            }
+            Actions all = g.run_to(t);
+            auto add = [&](const Actions& more) { all.insert(all.end(), more.begin(), more.end()); };
+            for (; !under_way.empty() && under_way.begin()->first <= t; under_way.erase(under_way.begin())) {
+                auto [request, server] = under_way.begin()->second;
+                add(g.ok(t, request, server, request <= 3 ? first_ms : 50));
+            }
+            add(g.arrive(t, ++id, 0, 4000));
+            for (const Forward& f : all_of<Forward>(all)) {
+                under_way.emplace(t + 50, std::pair(f.request, f.server));
+                sent += f.server == 4;
+            }
+        }
+        return sent;
+    };
+    EXPECT_GE(sends(2000), sends(50) / 2);
+    EXPECT_GE(sends(50), 10);
+}
+
 // Without quotas each gateway was given three servers, as for one request a second, and a cold one that fell to nobody got
 // nothing till it was warm.
 TEST(Subset, WhereNoQuotaIsToldNobodyIsGivenServers) {
