Keep an emulated node's connections open while their requests lie unread

Cause, both in the emulated node, not in the product: - It made room by closing connections that it took for spare although their requests lay unread; ClientSession::spare() looks into the socket. Look-alikes mended with them: connections at rest closed by age, quiet(), and the age of a request that waited behind the accept.

--- a/lab/sim/node_scheduler.h
+++ b/lab/sim/node_scheduler.h
@@ -44,15 +44,15 @@
         }
         run_one(now(), come, cost_);
     }
-    /// The same of a client's request. Those that wait are read by turns, as by the node's front: whatever
-    /// else has come goes in between.
+    /// The same of a client's request that arrived at `arrived`. Those that wait are read by turns, as by the
+    /// node's front: whatever else has come goes in between.
     template <class F>
-    void enter_request(F&& come) {
-        if (stopped_ || turn_ != 0) {
-            (sheds_ ? requests_ : waiting_).push_back({now(), std::forward<F>(come)});
+    void enter_request(TimePoint arrived, F&& come) {
+        if (stopped_ || inside_ || turn_ != 0) {
+            (sheds_ ? requests_ : waiting_).push_back({arrived, std::forward<F>(come)});
             return;
         }
-        run_one(now(), come, cost_);
+        run_one(arrived, come, cost_);
     }
     /// As http::Front: what is dead is sent away for a part of the cost. False: all is done in its order.
     void sheds(bool on) { sheds_ = on; }
--- a/lab/sim/sim_front.cpp
+++ b/lab/sim/sim_front.cpp
@@ -28,17 +28,19 @@
     std::chrono::nanoseconds stood() const {
         return std::chrono::duration_cast<std::chrono::nanoseconds>(front_.scheduler_.now() - since_);
     }
-    bool spare() const { return state_ == State::Leaving || state_ == State::Reading; }
+    /// Nothing is lost where it closes: as in ClientSession, not if a request lies unread in its socket.
+    bool spare() const {
+        return state_ == State::Leaving ||
+               (state_ == State::Reading && !front_.world_.has_unread_request(connection_));
+    }
     bool late() const {
         Duration most = state_ == State::Leaving ? kLingerMost : kIdleMost;
-        return (state_ == State::Reading || state_ == State::Leaving) &&
-               front_.scheduler_.now() - since_ > most;
+        return spare() && front_.scheduler_.now() - since_ > most;
     }
 
-    void ask(const Ask& ask) {
+    void ask(const Ask& ask, TimePoint came) {
         if (state_ != State::Reading) return;  // clients send one request at a time
-        TimePoint now = front_.scheduler_.now(),
-                  came = front_.scheduler_.sheds() ? front_.scheduler_.came() : now;
+        TimePoint now = front_.scheduler_.now();
         front_.lag_.read(now, now - came);
         bool again = !std::exchange(first_, false);
         again_ = again;
@@ -184,7 +186,7 @@
 
 void SimFront::opened(ClientConnection connection) {
     if (!backlog_.empty() || !table_.may_accept()) {
-        backlog_.push_back({connection, {}, false});
+        backlog_.push_back({.connection = connection, .ask = {}, .ask_came = {}, .noise = false});
         return;
     }
     accept(connection);
@@ -203,19 +205,28 @@
         Backlogged next = std::move(backlog_.front());
         backlog_.pop_front();
         accept(next.connection);
-        if (next.ask) asked(*next.ask);
+        if (next.ask) read(*next.ask, next.ask_came);
         if (next.noise) noise(next.connection);
     }
 }
 
 void SimFront::asked(const Ask& ask) {
-    if (auto it = sessions_.find(ask.connection); it != sessions_.end()) {
-        std::shared_ptr<Session> session = it->second;  // its close may come from inside
-        return session->ask(ask);
-    }
+    TimePoint came = scheduler_.sheds() ? scheduler_.came() : scheduler_.now();
+    if (read(ask, came)) return;
     if (scheduler_.sheds()) scheduler_.was_cheap();  // its client has gone
-    for (Backlogged& waiting : backlog_)
-        if (waiting.connection == ask.connection) waiting.ask = ask;
+    for (Backlogged& waiting : backlog_) {
+        if (waiting.connection != ask.connection) continue;
+        waiting.ask = ask;
+        waiting.ask_came = came;
+    }
+}
+
+bool SimFront::read(const Ask& ask, TimePoint came) {
+    auto it = sessions_.find(ask.connection);
+    if (it == sessions_.end()) return false;
+    std::shared_ptr<Session> session = it->second;  // its close may come from inside
+    session->ask(ask, came);
+    return true;
 }
 
 void SimFront::noise(ClientConnection connection) {
@@ -236,7 +247,12 @@
 }
 
 bool SimFront::quiet() const {
+    auto all_spare = [this](Standing standing) {
+        const auto& sessions = table_.standing(standing);
+        return std::all_of(sessions.begin(), sessions.end(), [](const auto& s) { return s->spare(); });
+    };
     return table_.standing(Standing::Starting).empty() && table_.standing(Standing::Busy).empty() &&
+           all_spare(Standing::Silent) && all_spare(Standing::Once) && all_spare(Standing::Idle) &&
            std::none_of(backlog_.begin(), backlog_.end(), [](const auto& b) { return b.ask.has_value(); });
 }
 
--- a/lab/sim/sim_front.h
+++ b/lab/sim/sim_front.h
@@ -40,6 +40,8 @@
 
     void accept(ClientConnection connection);
     void accept_waiting();
+    /// False: no session has this connection.
+    bool read(const Ask& ask, TimePoint came);
     void sweep();
 
     NodeScheduler& scheduler_;
@@ -55,6 +57,7 @@
     struct Backlogged {
         ClientConnection connection = 0;
         std::optional<Ask> ask;
+        TimePoint ask_came{};
         bool noise = false;
     };
     std::deque<Backlogged> backlog_;  // the kernel's: connections that the node cannot accept yet
--- a/lab/sim/sim_node.h
+++ b/lab/sim/sim_node.h
@@ -66,6 +66,8 @@
     // To clients.
     virtual void reply(ClientConnection connection, TryId id, const SimReply& reply) = 0;
     virtual void close_client(ClientConnection connection) = 0;
+    /// A request has arrived on this connection and lies unread in its socket.
+    virtual bool has_unread_request(ClientConnection connection) const = 0;
 
     // To discovery.
     virtual ListCall ask_list(std::optional<std::uint64_t> index, Duration wait) = 0;
--- a/lab/sim/world.cpp
+++ b/lab/sim/world.cpp
@@ -47,6 +47,9 @@
         world_.reply(number_, life_, connection, id, reply);
     }
     void close_client(ClientConnection connection) override { world_.close_client(connection); }
+    bool has_unread_request(ClientConnection connection) const override {
+        return unread_requests_.contains(connection);
+    }
     ListCall ask_list(std::optional<std::uint64_t> index, Duration wait) override {
         return world_.ask_list(number_, index, wait);
     }
@@ -61,17 +64,33 @@
     void enter(F f) {
         if (node_) scheduler_->enter(std::move(f));
     }
-    template <class F>
-    void enter_request(F f) {
-        if (node_) scheduler_->enter_request(std::move(f));
+    /// A client's request has arrived. It lies unread in the connection's socket until the process reads it,
+    /// which cannot be before it has accepted the connection.
+    void request_arrived(std::shared_ptr<const Ask> ask) {
+        if (!node_) return;
+        unread_requests_.insert(ask->connection);
+        auto opening = opening_.find(ask->connection);
+        UnreadRequest request{scheduler_->now(), std::move(ask)};
+        if (scheduler_->sheds() && opening != opening_.end())
+            opening->second = std::move(request);
+        else
+            queue_request(std::move(request));
     }
     // A client that gave up has closed: where its connection or its request has not been read by then, the
     // close shows before either costs much.
     void opens(ClientConnection c) {
+        if (!node_) return;
+        opening_[c] = {};
         enter([this, c] {
-            if (scheduler_->sheds() && closed_.erase(c) > 0) return scheduler_->was_cheap();
+            UnreadRequest request = std::move(opening_[c]);
+            opening_.erase(c);
+            if (scheduler_->sheds() && closed_.erase(c) > 0) {
+                unread_requests_.erase(c);
+                return scheduler_->was_cheap();
+            }
             scheduler_->was_accept();
             node_->client_opened(c);
+            if (request.ask) queue_request(std::move(request));
         });
     }
     void closes(ClientConnection c) {
@@ -83,12 +102,6 @@
             node_->client_closed(c);
         });
     }
-    bool unread(ClientConnection c) {
-        if (!scheduler_->sheds() || closed_.erase(c) == 0) return false;
-        scheduler_->was_cheap();
-        node_->client_closed(c);
-        return true;
-    }
     SimNode* node() { return node_.get(); }
     NodeScheduler& scheduler() { return *scheduler_; }
 
@@ -118,6 +131,8 @@
         scheduler_.reset();
         meddler_.reset();
         closed_.clear();
+        unread_requests_.clear();
+        opening_.clear();
     }
 
     std::uint32_t life() const { return life_; }
@@ -126,6 +141,27 @@
     bool stopping = false, ready = false;
 
 private:
+    /// A request that has arrived and that the process has not read.
+    struct UnreadRequest {
+        TimePoint arrived;
+        std::shared_ptr<const Ask> ask;  ///< null: none
+    };
+
+    void queue_request(UnreadRequest request) {
+        scheduler_->enter_request(request.arrived,
+                                  [this, ask = std::move(request.ask)] { read_request(*ask); });
+    }
+    void read_request(const Ask& ask) {
+        unread_requests_.erase(ask.connection);
+        if (scheduler_->sheds() && closed_.erase(ask.connection) > 0) {
+            scheduler_->was_cheap();
+            node_->client_closed(ask.connection);
+            return;
+        }
+        world_.request_read(ask.connection);
+        node_->client_asked(ask);
+    }
+
     World& world_;
     NodeNo number_;
     Place place_;
@@ -136,6 +172,9 @@
     std::vector<ConnectionNo> links_;
     boost::unordered_flat_set<ClientConnection>
         closed_;  // by their clients, which the process has yet to find
+    boost::unordered_flat_set<ClientConnection> unread_requests_;
+    /// Connections that the process has yet to accept, each with the request that came on it, if any.
+    boost::unordered_flat_map<ClientConnection, UnreadRequest> opening_;
 };
 
 World::World(const Day& day, Witness& witness, WorldOptions options)
@@ -478,7 +517,7 @@
         auto it = client_links_.find(ask->connection);
         if (it == client_links_.end()) return;
         if (it->second.up)
-            send_ask(ask->connection, it->second, *ask);
+            send_ask(it->second, *ask);
         else
             it->second.queued = *ask;
     } else if (const auto* open = std::get_if<OpenConnection>(&action)) {
@@ -530,11 +569,11 @@
     if (link.queued) {
         Ask ask = *link.queued;
         link.queued.reset();
-        send_ask(connection, link, ask);
+        send_ask(link, ask);
     }
 }
 
-void World::send_ask(ClientConnection connection, ClientLink& link, const Ask& ask) {
+void World::send_ask(ClientLink& link, const Ask& ask) {
     TimePoint now = scheduler_.now();
     link.out = ask.id;
     note(TrySent{now, ask.id, ask.call, ask.node, ask.cls, ask.tenant, ask.key, now + ask.patience,
@@ -542,17 +581,16 @@
     NodeHost& host = *nodes_[std::size_t(link.node)];
     auto held = std::make_shared<const Ask>(ask);
     link.read = false;
-    link.to_node = carry(client_, host.place(), link.to_node,
-                         [this, connection, n = link.node, life = link.node_life, held] {
-                             NodeHost& there = *nodes_[std::size_t(n)];
-                             if (there.life() != life) return;
-                             there.enter_request([this, &there, connection, held] {
-                                 if (there.unread(connection)) return;
-                                 auto it = client_links_.find(connection);
-                                 if (it != client_links_.end()) it->second.read = !it->second.node_closed;
-                                 there.node()->client_asked(*held);
-                             });
-                         });
+    link.to_node =
+        carry(client_, host.place(), link.to_node, [this, n = link.node, life = link.node_life, held] {
+            NodeHost& there = *nodes_[std::size_t(n)];
+            if (there.life() == life) there.request_arrived(held);
+        });
+}
+
+void World::request_read(ClientConnection connection) {
+    auto it = client_links_.find(connection);
+    if (it != client_links_.end()) it->second.read = !it->second.node_closed;
 }
 
 /// The node's end of a connection is gone: the client hears of it.
--- a/lab/sim/world.h
+++ b/lab/sim/world.h
@@ -103,10 +103,12 @@
     void tell_clients(const ClientEvent& event);
     void carry_out(const ClientAction& action);
     void client_up(ClientConnection connection);
-    void send_ask(ClientConnection connection, ClientLink& link, const Ask& ask);
+    void send_ask(ClientLink& link, const Ask& ask);
     void client_lost(ClientConnection connection, bool node_gone, TimePoint at);
     void reply(NodeNo node, std::uint32_t life, ClientConnection connection, TryId id, const SimReply& reply);
     void close_client(ClientConnection connection);
+    /// The node reads the request that is out on this connection.
+    void request_read(ClientConnection connection);
 
     // Discovery.
     void tell_discovery(const DiscoveryEvent& event);
--- a/lab/tests/simulate_test.cpp
+++ b/lab/tests/simulate_test.cpp
@@ -172,7 +172,10 @@
         }
         if (const auto* told = std::get_if<Told>(&record)) tolds.push_back(*told);
         if (const auto* arrived = std::get_if<AttemptArrived>(&record)) attempts.push_back(*arrived);
-        if (const auto* lost = std::get_if<TryLost>(&record)) losses += lost->node_gone;
+        if (const auto* lost = std::get_if<TryLost>(&record)) {
+            losses += lost->node_gone;
+            lost_by_live_nodes += !lost->node_gone;
+        }
         TimePoint when = std::visit([](const auto& r) { return r.at; }, record);
         if (!std::holds_alternative<CallBegan>(record)) {
             EXPECT_GE(when, now) << "records come in the order of their times";
@@ -185,7 +188,7 @@
     std::vector<Told> tolds;
     std::vector<AttemptArrived> attempts;
     TimePoint now{};
-    int losses = 0;
+    int losses = 0, lost_by_live_nodes = 0;
 };
 
 Seen seen_on(const std::string& text, std::uint64_t seed = 1) {
@@ -306,6 +309,19 @@
     EXPECT_LT(now.client_connections, in_order.client_connections);
 }
 
+// Guards against an emulated node that makes room by closing connections whose requests it has not read,
+// which http::ClientSession never does, and against one that reads a request before it has accepted its
+// connection.
+TEST(World, AStallWithFewDescriptorsClosesNoConnectionWithAnUnreadRequest) {
+    const char* const text =
+        "summary = \"few descriptors\"\n[day]\nlength_s = 6\n[load]\nrate = 3000\n[nodes]\ncount = 1\n"
+        "sockets = 256\nevent_cpu_us = 50\n[fleet]\nservers = 12\n"
+        "[[fault]]\nkind = \"node_stall\"\nat_s = 3\nfor_s = 0.5\n";
+    Seen seen = seen_on(text);
+    EXPECT_GT(seen.tries.size(), 15000u);
+    EXPECT_EQ(seen.lost_by_live_nodes, 0);
+}
+
 TEST(World, AnEmptyListStopsAllWorkAndTheWholeOneBringsItBack) {
     Seen seen = seen_on(std::string(kSmall) + "[[fault]]\nkind = \"discovery_empty\"\nat_s = 2\nfor_s = 2\n");
     int within = 0, after = 0;
