Judge a new connection that a simulated node closes unread as lost

The simulation excused every connection that a node closed before it had read the request on it. The sockets' side (`play`) judged so already.

A connection is now excused only where it never came up or has carried a response.

--- a/lab/sim/world.cpp
+++ b/lab/sim/world.cpp
@@ -603,9 +603,13 @@
         carry(host.place(), client_, std::max(link.to_client, at), [this, connection, node_gone] {
             auto found = client_links_.find(connection);
             if (found == client_links_.end()) return;
-            bool read = found->second.up && found->second.out != 0 && found->second.read;
+            const ClientLink& lost = found->second;
+            // A node may close a connection between requests, not one whose first request it has yet to
+            // answer.
+            bool between_requests = lost.out == 0 || (lost.answered && !lost.read);
+            bool before_any = !lost.up || between_requests;
             client_links_.erase(found);
-            tell_clients(ConnectionLost{connection, !read, node_gone});
+            tell_clients(ConnectionLost{connection, before_any, node_gone});
         });
 }
 
@@ -622,6 +626,7 @@
             std::optional<Duration> advice;
             if (came.advice.count() > 0) advice = came.advice;
             note(TryAnswered{scheduler_.now(), id, came.heard, came.status, came.answer, advice});
+            found->second.answered = true;
             if (found->second.out == id) found->second.out = 0;
             tell_clients(Answered{id, came.heard, came.status, advice, came.closes});
         }
--- a/lab/sim/world.h
+++ b/lab/sim/world.h
@@ -62,6 +62,7 @@
         std::uint32_t node_life = 0;
         bool up = false, hostile = false;
         bool read = false;         // the node has read what is out on it
+        bool answered = false;     // it has carried a whole response
         bool node_closed = false;  // ... or has closed it, which the client has yet to hear
         int noise = -1;
         TimePoint to_node{}, to_client{};
