Leave discovery reachable in a simulated partition of zones

Cause, in the simulated network: it placed discovery in the first zone, so that a partition of two zones also cut the nodes of the second one off from discovery.

--- a/lab/sim/network.h
+++ b/lab/sim/network.h
@@ -58,10 +58,10 @@
                among(fault.servers, place.number);
     }
     /// A side is "nodes", "servers", "discovery", "clients" or "zone:NAME"; the fault's lists narrow nodes
-    /// and servers wherever they stand.
+    /// and servers wherever they are. A zone holds nodes and servers: discovery is in none.
     bool side(const Fault& fault, const std::string& name, const Place& place) const {
         if (name.rfind("zone:", 0) == 0) {
-            if (place.what == Place::What::Client) return false;
+            if (place.what == Place::What::Client || place.what == Place::What::Discovery) return false;
             return std::size_t(place.zone) < figures_.zones.size() &&
                    figures_.zones[std::size_t(place.zone)] == name.substr(5);
         }
--- a/lab/tests/simulate_test.cpp
+++ b/lab/tests/simulate_test.cpp
@@ -150,6 +150,26 @@
     EXPECT_NEAR(sum / 4000, 2 * (1 + day.network.jitter), 0.05);
 }
 
+// Guards against a zone's partition that also cuts its nodes off from discovery, which is in no zone.
+TEST(Network, APartitionOfZonesLeavesDiscoveryReachable) {
+    Day day;
+    day.network.zones = {"east", "west"};
+    day.network.ms = {{0.1, 2}, {2, 0.1}};
+    Fault apart;
+    apart.kind = FaultKind::Partition;
+    apart.between = "zone:east";
+    apart.and_ = "zone:west";
+    day.faults = {apart};
+    Network network(day, 1);
+    network.cut(0);
+    Place discovery{Place::What::Discovery, 0, 0};
+    for (int zone : {0, 1}) {
+        Place node{Place::What::Node, zone, zone};
+        EXPECT_FALSE(network.cut_off(discovery, node)) << zone;
+        EXPECT_FALSE(network.cut_off(node, discovery)) << zone;
+    }
+}
+
 TEST(Simulate, TheSameSeedsGiveTheSameBytesWhateverTheJobs) {
     for (const char* name : {"tiny", "node_kill", "mixed_random"}) {
         Scenario scenario = Scenario::read(name);
