--- a/lab/referee/troubles.cpp
+++ b/lab/referee/troubles.cpp
@@ -10,6 +10,9 @@
 // What was held back by a partition is sent again by the kernel some time after it has healed.
 constexpr Ms kHealed = 1000;
 
+// A node is to be back to its service this long after a stall.
+constexpr Ms kStallRecovery = 5000;
+
 bool named(const std::vector<int>& some, int number) {
     return some.empty() || std::find(some.begin(), some.end(), number) != some.end();
 }
@@ -110,6 +113,13 @@
     return limit;
 }
 
+bool Troubles::recovers_from_stall(NodeNo node, Ms from, Ms to) const {
+    const auto& holds = holds_[std::size_t(node)];
+    return std::any_of(holds.begin(), holds.end(), [&](const Hold& hold) {
+        return hold.stall && hold.span.from < to && hold.span.to + kStallRecovery > from;
+    });
+}
+
 bool Troubles::held_up(NodeNo node, Ms from, Ms to) const {
     const auto& holds = holds_[std::size_t(node)];
     return std::any_of(holds.begin(), holds.end(),
--- a/lab/referee/troubles.h
+++ b/lab/referee/troubles.h
@@ -38,6 +38,8 @@
     Ms extended(Ms limit, NodeNo node, Ms from) const;
     /// The same for what it owes to all alike: by stalls alone.
     Ms stalled_until(Ms limit, NodeNo node, Ms from) const;
+    /// The node stood still between these times, or so shortly before that it may still work off the backlog.
+    bool recovers_from_stall(NodeNo node, Ms from, Ms to) const;
     /// The node stood still, or its clients were cut off, within this span.
     bool held_up(NodeNo node, Ms from, Ms to) const;
     /// Its clients were cut off within this span.
--- a/lab/tests/referee_test.cpp
+++ b/lab/tests/referee_test.cpp
@@ -122,6 +122,32 @@
 
 const Rules kNone_;
 
+// Behind a stall of a node with little CPU a response may come up to half a second after its client's
+// deadline: until 5 s after the stall, and at such nodes alone. A connection that the node ends is lost all
+// the same.
+TEST(Rule1, ResponsesBehindAStallMayBeHalfASecondLate) {
+    auto stalled = [](double event_cpu_ms) {
+        Trace trace;
+        for (auto& node : trace.day.nodes) node.event_cpu = Duration{event_cpu_ms};
+        return trace.node(1000, 0, NodeState::Stalled).node(1500, 0, NodeState::Resumed);
+    };
+    const Rules late{Rule::AnswerLate}, missing{Rule::AnswerMissing};
+    for (double sent : {990., 1490., 1510., 6400.}) {
+        EXPECT_EQ(stalled(0.05).sent(sent, 1, kFree, 0, 200).refused(sent + 700, 1).rules(), kNone_) << sent;
+        EXPECT_EQ(stalled(0.05).sent(sent, 1, kFree, 0, 200).left(sent + 270, 1).rules(), kNone_) << sent;
+        EXPECT_EQ(stalled(0.05).sent(sent, 1, kFree, 0, 200).rules(), missing) << sent;
+        EXPECT_EQ(stalled(0.05).sent(sent, 1, kFree, 0, 200).add(TryLost{at(sent + 100), 1, false}).rules(),
+                  missing)
+            << sent;
+    }
+    EXPECT_EQ(stalled(0.05).sent(1510, 1, kFree, 0, 200).refused(1510 + 700.1, 1).rules(), late);
+    EXPECT_EQ(stalled(0.05).sent(6510, 1, kFree, 0, 200).refused(6510 + 210, 1).rules(), late);
+    EXPECT_EQ(stalled(0.05).sent(1510, 1, kFree, 1, 200).refused(1510 + 210, 1).rules(), late)
+        << "another node";
+    EXPECT_EQ(stalled(0).sent(1510, 1, kFree, 0, 200).refused(1510 + 210, 1).rules(), late) << "CPU enough";
+    EXPECT_EQ(stalled(0).sent(1510, 1, kFree, 0, 200).left(1510 + 270, 1).rules(), missing) << "CPU enough";
+}
+
 TEST(Rule1, AnswerMissing) {
     // The client stays beyond all limits, or leaves after them: lost. At the deadline: failed, and counted.
     EXPECT_EQ(Trace().sent(100, 1, kFree).rules(), Rules{Rule::AnswerMissing});
