Keep a warm fleet out of slow start behind a network outage

What callers saw: no server reachable for 20 s, 5,000 clients asking; once the servers, still warm, were back, the nodes served 110 to 280 requests a second for five seconds and the fleet's 500 only after 10 s.

Cause: a probe that failed to connect counted as a process that was down, also where the connection just did not come up. Each server's first success then started it cold: 0.3 of its capacity, rising over 8 s.

A refused or reset connection shows a process that is down, one that timed out does not; the list's word on starts counts as before. Look-alike: attempts without probes judged the same, mended with it.

--- a/src/balancer/attempt_tracker.cpp
+++ b/src/balancer/attempt_tracker.cpp
@@ -109,7 +109,7 @@
     // Without probes an attempt is the trial of an Unhealthy endpoint, unless it is from before its backoff.
     bool is_trial = !m.settings.probes && attempt.sent >= endpoint.outlier.backoff_until;
     if (is_ok && (inputs_.monitor.is_usable(endpoint) || is_trial)) inputs_.monitor.record_success(endpoint);
-    if (event.outcome == Outcome::ConnectFailed) record_refused_connection(endpoint);
+    if (event.outcome == Outcome::ConnectFailed) record_failed_connection(endpoint, event.elapsed);
     bool is_error =
         event.outcome == Outcome::Error || (event.outcome == Outcome::Reset && !attempt.on_idle_connection);
     if (is_error && m.outliers.record_error(endpoint.outlier))
@@ -167,14 +167,17 @@
     m.load_reports.record_rejection(endpoint.load, attempt.requests_before);
 }
 
-// An endpoint that answers otherwise refuses connections because its table is full. Only a probe shows that
-// its process is down.
-void AttemptTracker::record_refused_connection(Endpoint& endpoint) {
+// An endpoint that answers otherwise refuses connections because its table is full. With probes, only they
+// show that its process is down.
+void AttemptTracker::record_failed_connection(Endpoint& endpoint, Duration elapsed) {
     Modules& m = inputs_.modules;
     endpoint.concurrency.connected = false;
     m.outliers.back_off_after_refused_connection(endpoint.outlier, m.now);
-    if (m.now - endpoint.health.last_success > kRefusalProbeIntervals * kProbeInterval)
-        inputs_.monitor.record_failure(endpoint, !m.settings.probes);
+    if (m.now - endpoint.health.last_success <= kRefusalProbeIntervals * kProbeInterval) return;
+    bool process_down =
+        !m.settings.probes &&
+        HealthTracker::shows_process_down(Outcome::ConnectFailed, elapsed, m.settings.connect_timeout);
+    inputs_.monitor.record_failure(endpoint, process_down);
 }
 
 void AttemptTracker::on_attempt_timeout(RequestId id, std::uint64_t attempt) {
--- a/src/balancer/attempt_tracker.h
+++ b/src/balancer/attempt_tracker.h
@@ -34,7 +34,7 @@
     void record_response(const Request& request, const Attempt& attempt, Duration elapsed);
     void record_failed_trial(Endpoint& endpoint);
     void record_rejection(const Request& request, const Attempt& attempt, Duration elapsed);
-    void record_refused_connection(Endpoint& endpoint);
+    void record_failed_connection(Endpoint& endpoint, Duration elapsed);
     void record_timeout(Attempt& attempt);
     void retry_or_finish(Request& request, const Attempt& attempt, bool replayable);
 
--- a/src/balancer/health_monitor.cpp
+++ b/src/balancer/health_monitor.cpp
@@ -77,8 +77,10 @@
     }
     if (event.outcome == Outcome::Error) m.health.back_off(endpoint.health);
     // A load probe that fails may only have met a pause.
-    if (endpoint.health.probe_counts_failure)
-        record_failure(endpoint, event.outcome == Outcome::ConnectFailed || event.outcome == Outcome::Reset);
+    if (!endpoint.health.probe_counts_failure) return;
+    if (event.outcome == Outcome::ConnectFailed) endpoint.concurrency.connected = false;
+    Duration timeout = std::min(m.settings.connect_timeout, kProbeTimeout);
+    record_failure(endpoint, HealthTracker::shows_process_down(event.outcome, event.elapsed, timeout));
 }
 
 bool HealthMonitor::is_awaiting_load_probe(const Endpoint& endpoint) const {
--- a/src/balancer/health_tracker.cpp
+++ b/src/balancer/health_tracker.cpp
@@ -78,6 +78,11 @@
     return std::clamp(Duration{1000 * probed / per_s}, kMinProbeInterval, kProbeInterval);
 }
 
+bool HealthTracker::shows_process_down(Outcome outcome, Duration elapsed, Duration timeout) {
+    bool refused = outcome == Outcome::ConnectFailed && elapsed < timeout - kClockStep;
+    return refused || outcome == Outcome::Reset;
+}
+
 bool HealthTracker::probe_timed_out(const EndpointHealth& endpoint, TimePoint now) const {
     return endpoint.probe_in_flight && now - endpoint.probe_sent >= kProbeTimeout - kClockStep;
 }
--- a/src/balancer/health_tracker.h
+++ b/src/balancer/health_tracker.h
@@ -58,6 +58,10 @@
     bool is_usable(const EndpointHealth& endpoint, const FleetHealth& fleet) const;
     /// Time between two probes of one endpoint, in ms; `arrivals_per_s`: first attempts.
     Duration probe_interval(const FleetHealth& fleet, double arrivals_per_s) const;
+    /// Whether a failed probe or attempt shows that the process does not run: its connection was refused or
+    /// reset. One that did not come up within `timeout` only shows that the endpoint could not be reached;
+    /// its process may have gone on running, warmed up.
+    static bool shows_process_down(Outcome outcome, Duration elapsed, Duration timeout);
     /// The probe in flight has exceeded its timeout.
     bool probe_timed_out(const EndpointHealth& endpoint, TimePoint now) const;
 
--- a/tests/balancer/slow_start_test.cpp
+++ b/tests/balancer/slow_start_test.cpp
@@ -190,5 +190,44 @@
     EXPECT_LE(sends, 60);  // it stands 74 in a span; a warm endpoint would have been sent all hundred
 }
 
+// Guards against slow start of a whole warm fleet behind a network outage, in which connections do not come
+// up.
+TEST(SlowStart, DoesNotApplyAfterAnOutageInWhichNoConnectionCameUp) {
+    Settings set = make_settings();
+    set.connect_timeout = Duration{75};
+    Gateway g(set);
+    g.list(0, {entry(1)});
+    g.run_probed(4000, [](EndpointId) { return Outcome::Ok; });
+    g.run_probed(
+        14000, [](EndpointId) { return Outcome::ConnectFailed; }, 75);
+    g.run_probed(20000, [](EndpointId) { return Outcome::Ok; });
+    int sends = 0;
+    for (RequestId i = 0; i < 100; ++i) {
+        auto to = sent_to(g.arrive(20001 + double(i), i));
+        sends += to.has_value();
+        if (to) g.ok(20001.5 + double(i), i, *to, 50);
+    }
+    EXPECT_EQ(sends, 100);
+}
+
+// The same where attempts alone show how an endpoint is: one that refuses connections is slow-started.
+TEST(SlowStart, DoesNotApplyWithoutProbesAfterAnOutageInWhichNoConnectionCameUp) {
+    auto share_after_outage = [](double connect_failed_after_ms) {
+        Settings set = make_settings();
+        set.probes = false;
+        set.connect_timeout = Duration{75};
+        Gateway g(set);
+        g.list(0, {entry(1)});
+        auto serve = [&](EndpointId, double now) {
+            bool down = now > 4000 && now < 14000;
+            return down ? std::pair{Outcome::ConnectFailed, connect_failed_after_ms}
+                        : std::pair{Outcome::Ok, 10.0};
+        };
+        return send_steady_load(g, 19000, 21000, 200, serve).share();
+    };
+    EXPECT_LT(share_after_outage(1), 0.9);
+    EXPECT_GE(share_after_outage(75), 0.99);
+}
+
 }  // namespace
 }  // namespace ochrehub::testing
--- a/tests/bench_side.h
+++ b/tests/bench_side.h
@@ -87,8 +87,8 @@
         return end(ms, id, 0, server, Outcome::Ok, elapsed, true);
     }
     Actions probe(double ms, EndpointId server, Outcome outcome, std::optional<double> inflight = {},
-                  std::optional<double> queue = {}) {
-        return tell(ms, ProbeEnded{server, outcome, Duration{1}, LoadReport{inflight, queue, {}}});
+                  std::optional<double> queue = {}, double elapsed_ms = 1) {
+        return tell(ms, ProbeEnded{server, outcome, Duration{elapsed_ms}, LoadReport{inflight, queue, {}}});
     }
     /// Lets the time pass to `ms`: hands in each wake-up that falls due and returns all that it brought.
     Actions run_to(double ms) {
@@ -103,13 +103,13 @@
     }
     /// As run_to, with every probe answered at once by `answer(server)`.
     template <class F>
-    Actions run_probed(double ms, F answer) {
+    Actions run_probed(double ms, F answer, double elapsed_ms = 1) {
         Actions all;
         while (!wakes_.empty() && *wakes_.begin() <= at(ms)) {
             Actions some = run_to(wakes_.begin()->time_since_epoch().count());
             for (std::size_t i = 0; i < some.size(); ++i)
                 if (const auto* p = std::get_if<Probe>(&some[i])) {
-                    Actions more = probe(now, p->endpoint, answer(p->endpoint));
+                    Actions more = probe(now, p->endpoint, answer(p->endpoint), {}, {}, elapsed_ms);
                     some.insert(some.end(), more.begin(), more.end());
                 }
             all.insert(all.end(), some.begin(), some.end());
