Write no probe to a server that drains while the probe connects

Cause: ServerPool::probe decided when it began to connect; attempts ask once more when the connection is up. The probe now does so too, by the list alone: servers that operators put out by hand are probed as before. A probe that is not written ends as NotSent and counts as no failure.

Look-alikes: the other callers of Connection::exchange are attempts, which were right, and list calls to discovery.

--- a/src/balancer/health_monitor.cpp
+++ b/src/balancer/health_monitor.cpp
@@ -75,6 +75,7 @@
         endpoint.health.last_probe_sent = endpoint.health.probe_sent;
         return record_success(endpoint);
     }
+    if (event.outcome == Outcome::NotSent) return;  // the endpoint was not asked
     if (event.outcome == Outcome::Error) m.health.back_off(endpoint.health);
     // A load probe that fails may only have met a pause.
     if (!endpoint.health.probe_counts_failure) return;
--- a/src/http/server_pool.cpp
+++ b/src/http/server_pool.cpp
@@ -295,8 +295,14 @@
         events_.probe_ended(to, took(), written ? Outcome::Timeout : Outcome::ConnectFailed, {});
     });
     connection->limit_answer(profile_.answer_most, std::nullopt);
+    // Guards rule 3: as for an attempt, a drain may be told while the connection is still coming up.
+    auto head = [this, to, at = connection->to(),
+                 text = "GET " + profile_.probe_path + " HTTP/1.1\r\nHost: " + host +
+                        "\r\n\r\n"]() -> std::optional<std::string> {
+        return is_listed(to, at) ? std::optional(text) : std::nullopt;
+    };
     connection->exchange(
-        "GET " + profile_.probe_path + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n", nullptr,
+        std::move(head), nullptr,
         [this, to, took, timer](const ConnectionPtr& used, const Connection::Result& result) {
             if (timer->cancel() == 0) return;  // its time ran out in this same moment
             if (result.unasked) beware();
@@ -305,7 +311,8 @@
             LoadReport report;
             if (result.answer && result.end == Connection::End::Answered) report = report_of(*result.answer);
             events_.probe_ended(to, took(), outcome, report);
-        });
+        },
+        nullptr);
 }
 
 void ServerPool::close_idle_connections(EndpointId id) {
--- a/src/http/server_pool.h
+++ b/src/http/server_pool.h
@@ -80,9 +80,13 @@
         auto it = servers_.find(id);
         return it == servers_.end() ? nullptr : &it->second;
     }
-    bool may_send(EndpointId id, const Connection::Endpoint& at) {
+    /// The list has this endpoint, not draining, at this address. It may be out by hand: it is still probed.
+    bool is_listed(EndpointId id, const Connection::Endpoint& at) {
         Server* server = find(id);
-        return server && server->sendable && server->address == at && !out_.contains(server->key);
+        return server && server->sendable && server->address == at;
+    }
+    bool may_send(EndpointId id, const Connection::Endpoint& at) {
+        return is_listed(id, at) && !out_.contains(find(id)->key);
     }
     ConnectionPtr connection_to(EndpointId id);
     void close_idle_before(Server& server, TimePoint start);
--- a/tests/server_pool_test.cpp
+++ b/tests/server_pool_test.cpp
@@ -369,6 +369,18 @@
     expect_balance(rig, 0);
 }
 
+// Guards against a probe that is written although the list has said meanwhile that its server drains.
+TEST(ServerPool, AServerThatDrainsWhileAProbeConnectsGetsNoProbe) {
+    Rig rig;
+    rig.servers.probe(Rig::kServer, std::chrono::seconds(60));
+    FarPtr far = rig.door.accept();
+    rig.list(rig.door.address, Phase::Draining);
+    rig.until([&] { return !rig.events.probes.empty(); });
+    EXPECT_EQ(rig.events.probes, (std::vector<Outcome>{Outcome::NotSent}));
+    EXPECT_EQ(far->heard(), "");
+    expect_balance(rig, 0);
+}
+
 TEST(ServerPool, AServerOutByHandWhileItConnectsGetsNothing) {
     Rig rig;
     rig.start(1);
