--- a/tests/server_pool_test.cpp
+++ b/tests/server_pool_test.cpp
@@ -76,6 +76,17 @@
     expect_balance(rig, 0);
 }
 
+// A second copy that comes later than connections rest, behind the next request, is no response to that one.
+TEST(ServerPool, ASecondCopyLaterThanTheRestIsNoAnswer) {
+    Rig rig;
+    FarPtr far = one_at_rest(rig);
+    usleep(60000);
+    rig.start(2);
+    rig.request_at(*far);
+    far->say(answer("one"));
+    EXPECT_NE(rig.body(2), "one");
+}
+
 TEST(ServerPool, ADoubtedAnswerSoonerThanAnyCanBeIsNone) {
     http::Reuse reuse = never_rested();
     reuse.spare_part = 0;
