Let a session's resend timer move on, whatever its times round to

Cause, in coordinator::Session: its timer was set to sent_at + resend_interval and judged by now - sent_at < resend_interval. Where these round apart nothing is sent and the timer is set to the same time again. Look-alike found and mended: a closed session set its timer for resends it never makes.

One function now gives the time that is both set and judged. Channel::handle_timer compares in the same way and is left.

--- a/src/fleet/coordinator/session.h
+++ b/src/fleet/coordinator/session.h
@@ -184,6 +184,7 @@
 
     // Timer
     void set_timer();
+    TimePoint resend_at(const PendingCall& call) const;
     TimePoint next_call_deadline() const;
 
     const SessionSettings settings_;
--- a/src/fleet/coordinator/session_calls.cpp
+++ b/src/fleet/coordinator/session_calls.cpp
@@ -97,7 +97,7 @@
 void Session::send_commands() {
     const PendingCall& first = commands_.front();
     // Without a response to the first one all behind it are sent again too.
-    if (first.is_sent && now_ - first.sent_at >= settings_.resend_interval)
+    if (first.is_sent && now_ >= resend_at(first))
         for (PendingCall& command : commands_) command.is_sent = false;
     // Responses may arrive out of order: acknowledged are those before the first command without one.
     const std::uint64_t acknowledged = first.sequence - 1;
@@ -121,7 +121,7 @@
 
 void Session::send_queries() {
     for (PendingCall& query : queries_) {
-        if (query.is_sent && now_ - query.sent_at < settings_.resend_interval) continue;
+        if (query.is_sent && now_ < resend_at(query)) continue;
         query.is_sent = true;
         query.sent_at = now_;
         wire::Request request;
@@ -132,26 +132,33 @@
     }
 }
 
+// The same sum decides when the timer fires and whether it is time: the difference to now may round
+// otherwise.
+TimePoint Session::resend_at(const PendingCall& call) const {
+    return call.sent_at + settings_.resend_interval;
+}
+
 /// The next time at which a command must be sent, or a query sent or expired.
 TimePoint Session::next_call_deadline() const {
     TimePoint next = TimePoint::max();
     bool any_unsent = false;
+    const bool sends_calls = target_leads_ && !is_closed_;
     const auto add_resend = [&](const PendingCall& call) {
         if (call.is_sent)
-            next = std::min(next, std::max(call.sent_at + settings_.resend_interval, resend_not_before_));
+            next = std::min(next, std::max(resend_at(call), resend_not_before_));
         else
             any_unsent = true;
     };
-    if (target_leads_ && !commands_.empty()) add_resend(commands_.front());
+    if (sends_calls && !commands_.empty()) add_resend(commands_.front());
     for (const PendingCall& query : queries_) {
         next = std::min(next, query.deadline);
-        if (target_leads_) add_resend(query);
+        if (sends_calls) add_resend(query);
     }
     for (const PendingCall& command : commands_) {
         const bool fits = command.sequence < commands_.front().sequence + settings_.max_inflight_commands;
         any_unsent |= !command.is_sent && fits;
     }
-    if (target_leads_ && any_unsent && resend_not_before_ > now_) next = std::min(next, resend_not_before_);
+    if (sends_calls && any_unsent && resend_not_before_ > now_) next = std::min(next, resend_not_before_);
     return next;
 }
 
--- a/tests/fleet/coordinator/session_test.cpp
+++ b/tests/fleet/coordinator/session_test.cpp
@@ -19,6 +19,7 @@
     std::vector<wire::Request> requests;
     std::vector<std::string> targets;  ///< of the requests
     std::vector<SessionAction> notifications;
+    TimePoint timer_at{};  ///< last one set
 
     explicit Client(std::vector<std::string> coordinators = {"k1"})
         : session(settings(std::move(coordinators))) {}
@@ -38,7 +39,9 @@
                 EXPECT_TRUE(request.ParseFromString(send->body));
                 requests.push_back(request);
                 targets.push_back(send->to);
-            } else if (!std::holds_alternative<SetSessionTimer>(action)) {
+            } else if (const auto* timer = std::get_if<SetSessionTimer>(&action)) {
+                timer_at = timer->at;
+            } else {
                 notifications.push_back(std::move(action));
             }
     }
@@ -85,6 +88,37 @@
     EXPECT_EQ(client.requests.back().open().attempt(), 2u);
 }
 
+// Guards against a timer that fires at its time and is set to the same time again without end, because the
+// sum that it is set by and the difference that it is judged by round apart.
+TEST(Session, TimerOfAResentQueryMovesOnWhateverItsTimesRoundTo) {
+    for (int i = 0; i < 2000; ++i) {
+        Client client;
+        client.handle(at(0));
+        client.respond(at(1), client.requests[0]);
+        TimePoint sent = at(10 + 0.3700000001 * i);
+        client.handle(sent, QueryRequested{1, "sum", ""});
+        for (int fired = 0; fired < 6; ++fired) {
+            const TimePoint now = client.timer_at;
+            client.handle(now);
+            ASSERT_GT(client.timer_at, now) << i;
+        }
+    }
+}
+
+TEST(Session, ClosedSessionWaitsForItsQueriesWithoutATimerInThePast) {
+    Client client;
+    client.handle(at(0));
+    client.respond(at(1), client.requests[0]);
+    client.handle(at(2), QueryRequested{1, "sum", ""});
+    client.handle(at(3), CloseRequested{});
+    TimePoint now = at(3);
+    while (client.all<CallCompleted>().empty()) {
+        ASSERT_GT(client.timer_at, now);
+        client.handle(now = client.timer_at);
+    }
+    EXPECT_EQ(client.all<CallCompleted>()[0].error, Error::Unreachable);
+}
+
 TEST(Session, ResendsCommandsUnderTheSameSequenceNumberAfterADisconnect) {
     Client client({"k1", "k2"});
     client.handle(at(0));
