--- a/src/sessions/session_table.h
+++ b/src/sessions/session_table.h
@@ -46,12 +46,10 @@
         if (to == Standing::Busy) keep_to_share();
     }
 
-    /// Closes what exceeds a new budget as far as it can be closed, new connections included: another process
-    /// needs their descriptors now.
+    /// No more than this from now on, as far as those that are over it can go.
     void keep_to(DescriptorBudget budget) {
         budget_ = budget;
-        while (held() > budget_.clients + budget_.clients_over &&
-               (make_room() || close_one(Standing::Silent, true))) {
+        while (held() > budget_.clients + budget_.clients_over && make_room()) {
         }
     }
 
@@ -65,14 +63,13 @@
     /// True where the next connection can only be told that there is no room.
     bool over() { return held() >= budget_.clients && !make_room(); }
 
-    /// Closes one connection if any can be spared. A new connection without a request is not closed: its
-    /// first request may be on its way, and its client could not tell that it was not read. Where nothing
-    /// else can be closed, later connections are rejected with a response or wait in the listener's queue,
-    /// until the silent ones are no longer new.
+    // A crowd that says nothing must not push out a connection that has only just come, its request on its
+    // way: before that one an idle connection goes, whose client opens another when it needs it.
     bool make_room() {
         return close_one(Standing::Leaving, true) || close_one(Standing::Silent, false) ||
                close_one(Standing::Starting, false) || close_one(Standing::Once, true) ||
-               close_one(Standing::Idle, true) || close_one(Standing::Starting, true);
+               close_one(Standing::Idle, true) || close_one(Standing::Silent, true) ||
+               close_one(Standing::Starting, true);
     }
 
     const Sessions& standing(Standing standing) const { return sessions_[std::size_t(standing)]; }
@@ -83,23 +80,22 @@
     }
 
 private:
-    /// A connection younger than this is new: its request may still be on its way.
-    static constexpr std::chrono::milliseconds kNewConnectionAge{100};
-    /// Connections examined for one close: each costs a system call.
-    static constexpr int kMaxExamined = 8;
+    static constexpr std::chrono::milliseconds kFresh{100};  // a connection's request may still be on its way
+    static constexpr int kLooks =
+        8;  // each costs a call: a crowd is not searched from end to end at every accept
 
     Sessions& of(Standing standing) { return sessions_[std::size_t(standing)]; }
 
-    bool close_one(Standing standing, bool even_new) {
-        int examined = 0;
+    bool close_one(Standing standing, bool even_fresh) {
+        int looks = kLooks;
         for (const Session& session : of(standing)) {
-            if (!even_new && session->stood() < kNewConnectionAge) break;  // the rest is newer still
+            if (!even_fresh && session->stood() < kFresh) break;  // those behind are fresher still
             if (session->spare()) {
-                Session closing = session;  // close() removes its entry from the table
+                Session closing = session;  // its place goes with its close
                 closing->close();
                 return true;
             }
-            if (++examined == kMaxExamined) break;
+            if (--looks == 0) break;
         }
         return false;
     }
