Answer long bodies in time while their server takes nothing

Cause: a body over 64 KiB is forwarded as it arrives. While its server takes nothing the session reads nothing, so the last byte lies unread in the socket; every timer of such a request began with the last byte's reading, and the bound on slow clients leaves such bodies out.

Evidence: hypotheses were (a) the end is not read and no timer runs, (b) it is read and the write to the server has none. /proc/net/tcp, each second of the case on the unchanged program: three client connections of the nodes kept 104 to 364 KB unread from the hang to its end, while bodies that had been read whole left theirs within their deadline.

Change: Upload (new, out of ClientSession) knows which side holds a body up. A blocked one has a timer: what may be whole is given up when the client's patience has passed since bytes last arrived, by the kernel's account; what is known not to be whole when nothing has moved for that long and 2.5 s at the least. Engine::body_received then ends the attempt, whose last byte is unwritten, and the request is refused. It works for any deadline and length because the time counts from the bytes' arrival, not from their reading.

--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -67,7 +67,7 @@
 
 void Engine::body_received(RequestId id, TimePoint deadline) {
     Request* request = find(id);
-    if (!request || request->completed) return;
+    if (!request || request->completed || !request->receiving_body) return;
     request->receiving_body = false;
     request->deadline = deadline;
     set_overdue_timer(*request);
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -29,7 +29,8 @@
 
     /// Accepts a request; `sink` receives its final response, never before submit() returns.
     RequestId submit(IncomingRequest incoming, std::shared_ptr<ResponseSink> sink);
-    /// The body of a request that was submitted with receiving_body is complete; its deadline is `deadline`.
+    /// The body of a request that was submitted with receiving_body is complete, or no longer waited for; its
+    /// deadline is `deadline`. Only the first call counts.
     void body_received(RequestId id, TimePoint deadline);
     /// The client of this request has disconnected; no response is sent.
     void client_disconnected(RequestId id);
--- a/src/figures/figures.h
+++ b/src/figures/figures.h
@@ -63,6 +63,11 @@
     /// It gets no answer, or not all of one.
     void left(const Request& request);
 
+    /// A server did not take a request's body in time. Counted beside the request's own end.
+    void upload_given_up() {
+        if (counters_) counters_->uploads_given_up.add();
+    }
+
     /// Sends all there is, as far as it goes without waiting.
     void flush();
 
--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -8,6 +8,7 @@
 #include <iterator>
 #include <utility>
 
+#include "base/log.h"
 #include "http/receive.h"
 
 namespace ochrehub::http {
@@ -21,7 +22,6 @@
 constexpr std::chrono::seconds kLingerMost{1};
 constexpr std::chrono::seconds kUploadLingerMost{
     10};  // a long body goes on coming while its client hears of the answer
-constexpr std::chrono::milliseconds kPieceMost{2500};  // between two pieces of a long body
 constexpr std::chrono::milliseconds kUnreadMost{
     500};  // a client that takes nothing for so long, while the node stops
 constexpr std::chrono::milliseconds kFirstMost{100};  // a new connection's request may still be on its way
@@ -156,10 +156,9 @@
 // A body that no buffer holds goes to a server as it comes. Its request is decided on now; its time runs from
 // its last byte.
 void ClientSession::begin_upload() {
-    upload_ = std::make_shared<BodyStream>(front_.io(), front_.pool());
-    upload_full_ = false;
-    sent_ = {};
-    parser_->pass_rest_to(upload_);
+    auto stream = std::make_shared<BodyStream>(front_.io(), front_.pool());
+    parser_->pass_rest_to(stream);
+    upload_ = std::make_unique<Upload>(std::move(stream));
     dispatch();
     if (state_ == State::Waiting) read_upload();
 }
@@ -174,10 +173,10 @@
         heard_ = Steady::now();
         came_ = front_.engine().now() - got.age;
         body_read_ += got.bytes;
-        sent_.moved(std::int64_t(body_read_));
+        upload_->received(heard_ - std::chrono::duration_cast<Steady::duration>(got.age), body_read_);
         unread_.grow(got.bytes);
     }
-    if (state_ != State::Waiting || !upload_ || upload_full_) return;
+    if (state_ != State::Waiting || !upload_ || upload_->blocked()) return;
     if (unread_.view().empty()) unread_.release();
     socket_.async_wait(asio::ip::tcp::socket::wait_read,
                        [self = shared_from_this(), watch = ++watch_](error_code error) {
@@ -193,14 +192,7 @@
         std::size_t used = parser_->put(asio::buffer(unread_.view().data(), unread_.view().size()), bad);
         unread_.drop_front(used);
         if (bad == boost::beast::http::error::need_buffer) {
-            upload_full_ = true;
-            upload_->wait_for_room([self = shared_from_this(), upload = upload_.get()] {
-                if (self->upload_.get() != upload) return;
-                self->upload_full_ = false;
-                self->heard_ = Steady::now();
-                self->sent_.reset();
-                self->read_upload();
-            });
+            block_upload();
             return false;
         }
         if (bad == boost::beast::http::error::need_more && unread_.room() > 0) return true;
@@ -218,14 +210,70 @@
     return true;
 }
 
+// What is unread then may be the rest of the body, and its client's time runs.
+void ClientSession::block_upload() {
+    upload_->block();
+    upload_->stream().wait_for_room([self = shared_from_this(), upload = upload_.get()] {
+        if (self->upload_.get() != upload) return;
+        upload->unblock();
+        self->heard_ = Steady::now();
+        self->read_upload();
+    });
+    if (!upload_timer_set_) check_upload_at(upload_->first_check());
+}
+
+// Once for the client's patience at most, however often the upload is blocked meanwhile.
+void ClientSession::check_upload_at(Steady::time_point at) {
+    if (!upload_timer_) upload_timer_.emplace(front_.io());
+    upload_timer_set_ = true;
+    upload_timer_->expires_at(at);
+    upload_timer_->async_wait([self = shared_from_this(), upload = upload_.get()](error_code stopped) {
+        if (stopped || self->upload_.get() != upload) return;
+        self->upload_timer_set_ = false;
+        if (upload->blocked()) self->check_blocked_upload();
+    });
+}
+
+// The engine ends the attempt, of which the server does not have the last byte, and has the request answered.
+void ClientSession::check_blocked_upload() {
+    UnreadBody unread = unread_body();
+    if (auto again = upload_->next_check(unread, Steady::now())) return check_upload_at(*again);
+    log(LogLevel::Warn, "a server does not take a request's body: given up",
+        {{"class", front_.class_name(class_)}, {"read", body_read_}, {"unread", unread.bytes.value_or(0)}});
+    front_.figures().upload_given_up();
+    front_.engine().body_received(request_, front_.engine().now());
+}
+
+UnreadBody ClientSession::unread_body() {
+    UnreadBody unread;
+    error_code unknown;
+    std::size_t in_socket = socket_.available(unknown);
+    if (!unknown) unread.bytes = unread_.view().size() + in_socket;
+    if (auto remaining = parser_->content_length_remaining()) unread.remaining = *remaining;
+    unread.age = since_last_arrival(socket_.native_handle());
+    return unread;
+}
+
 void ClientSession::end_upload() {
-    std::exchange(upload_, nullptr)->end();
+    upload_->stream().end();
+    drop_upload();
     figured_ = front_.figures().came(class_, tenant_, heard_);
     if (unread_.view().empty()) unread_.release();
     front_.engine().body_received(request_, came_ + patience_);
     if (state_ == State::Waiting) watch_client();
 }
 
+void ClientSession::drop_upload() {
+    upload_.reset();
+    if (upload_timer_) upload_timer_->cancel();
+    upload_timer_set_ = false;
+}
+
+void ClientSession::break_off_upload() {
+    upload_->stream().break_off();
+    drop_upload();
+}
+
 void ClientSession::dispatch() {
     again_ = !std::exchange(first_, false);
     front_.was_read();
@@ -241,6 +289,7 @@
     CallReader::Reading reading = front_.calls().read(*request, came_);
     class_ = reading.call.request.class_index, tenant_ = reading.call.request.tenant;
     patience_ = reading.patience;
+    if (upload_) upload_->set_patience(patience_);
     reading.call.request.receiving_body = bool(upload_);
     if (!upload_) figured_ = front_.figures().came(class_, tenant_, heard_);
     entered_ = front_.engine().now();
@@ -295,7 +344,7 @@
         if (left == 0 && !blocked_) taken_.reset();
         taken_.moved(outgoing_.written() - left);
     }
-    bool unwatched = upload_ ? upload_full_ : unread_ && unread_.room() == 0;
+    bool unwatched = upload_ ? upload_->blocked() : unread_ && unread_.room() == 0;
     if (state_ == State::Waiting && unwatched) (void)is_client_disconnected();
 }
 
@@ -409,7 +458,7 @@
     status_ = status;
     if (upload_) {  // answered before all of it was there: what still comes is read and means nothing
         figured_ = front_.figures().came(class_, tenant_, heard_);
-        std::exchange(upload_, nullptr)->break_off();
+        break_off_upload();
         long_linger_ = true;
     }
     outgoing_.set(std::move(head), std::move(body), chunked);
@@ -558,7 +607,7 @@
     error_code ignored;
     socket_.close(ignored);
     unread_.release();
-    if (upload_) std::exchange(upload_, nullptr)->break_off();
+    if (upload_) break_off_upload();
     parser_.reset();
     outgoing_.clear();
     if (figured_) front_.figures().left(*figured_);
@@ -586,7 +635,7 @@
 }
 
 void ClientSession::end_half_sent() {
-    if (state_ == State::Waiting && upload_ && (upload_full_ || !unread_in_socket())) {
+    if (state_ == State::Waiting && upload_ && (upload_->blocked() || !unread_in_socket())) {
         call_off();
         close_after_ = true;
         return reject(408);
@@ -597,8 +646,7 @@
 }
 
 bool ClientSession::late() const {
-    if (state_ == State::Waiting)
-        return upload_ && !upload_full_ && (Steady::now() - heard_ > kPieceMost || sent_.too_slow());
+    if (state_ == State::Waiting) return upload_ && upload_->client_too_slow();
     if (state_ == State::Writing) return taken_.too_slow() || (!blocked_ && stood() > kWriteMost);
     auto most = [this]() -> Steady::duration {
         if (state_ == State::Lingering) return long_linger_ ? kUploadLingerMost : kLingerMost;
--- a/src/http/client_session.h
+++ b/src/http/client_session.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <memory>
 #include <optional>
@@ -11,6 +12,7 @@
 #include "http/message.h"
 #include "http/minimum_rate.h"
 #include "http/outgoing.h"
+#include "http/upload.h"
 
 namespace ochrehub::http {
 
@@ -63,6 +65,12 @@
     void read_upload();
     bool parse_upload();
     void end_upload();
+    void block_upload();
+    void check_upload_at(Steady::time_point at);
+    void check_blocked_upload();
+    UnreadBody unread_body();
+    void drop_upload();
+    void break_off_upload();
     void rewrite(HttpMessage& request, int class_index);
     void watch_client();
     void call_off();
@@ -99,10 +107,10 @@
     std::string trace_;       // its id, held while it is open; empty: ids need not differ
     bool head_only_ = false;  // it asked for a head alone
     bool http_1_0_ = false;
-    bool long_linger_ = false;  // the body of the request is still coming, and means nothing any more
-    std::shared_ptr<BodyStream>
-        upload_;                   // of a body that goes on to a server as it comes, till all of it is there
-    bool upload_full_ = false;     // the server takes it more slowly than it comes
+    bool long_linger_ = false;        // the body of the request is still coming, and means nothing any more
+    std::unique_ptr<Upload> upload_;  // of a body that is forwarded as it arrives, until all of it was read
+    std::optional<boost::asio::steady_timer> upload_timer_;  // of a blocked upload; made with the first
+    bool upload_timer_set_ = false;
     std::uint64_t body_read_ = 0;  // bytes since a request began
     Duration patience_{};
     int class_ = kNone, tenant_ = kNone;
@@ -118,7 +126,6 @@
     TimePoint came_{};            // ... and when they had come
     Outgoing outgoing_;
     MinimumRate taken_;        // by its client, of its answers
-    MinimumRate sent_;         // by its client, of an upload
     bool blocked_ = false;     // an answer, by what lies unacknowledged before it
     std::uint64_t watch_ = 0;  // a wait of an earlier watch does nothing
 };
--- a/src/http/receive.cpp
+++ b/src/http/receive.cpp
@@ -58,6 +58,14 @@
     return getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 && closed_by_peer(info);
 }
 
+std::optional<Duration> since_last_arrival(int socket) {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    // A host that fills nothing in leaves the state zero, which is none.
+    if (getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 || info.tcpi_state == 0) return {};
+    return Duration(info.tcpi_last_data_recv) + kTick;
+}
+
 int unacknowledged(int socket) {
     int bytes = 0;
     return ioctl(socket, SIOCOUTQ, &bytes) == 0 ? bytes : 0;
--- a/src/http/receive.h
+++ b/src/http/receive.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
+#include <optional>
 
 #include "ochrehub/balancer.h"
 
@@ -21,6 +22,9 @@
 /// the kernel does not say.
 int unacknowledged(int socket);
 
+/// At most so long ago bytes last arrived, read or not; none where the kernel does not say.
+std::optional<Duration> since_last_arrival(int socket);
+
 struct Received {
     std::size_t bytes = 0;
     boost::system::error_code error;  ///< would_block, eof, ...
--- a/tests/endings_run.h
+++ b/tests/endings_run.h
@@ -364,12 +364,13 @@
     std::function<void(const char* program, const char* config)> alone;  // on nodes of its own
 };
 
-// Of endings_leaving.cpp, endings_bodies.cpp, endings_stopping.cpp and endings_sockets.cpp: parts whose rows
+// Of endings_leaving, _bodies, _uploads, _stopping and _sockets.cpp: parts whose rows
 // go one after the other, and the parts beside each other.
 using Part = std::vector<Row>;
 std::vector<Part> leaving();
 std::vector<Part> bodies();
 std::vector<Part> stopping();
 std::vector<Part> sockets();
+std::vector<Part> uploads();
 
 }  // namespace ochrehub::run
--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -80,8 +80,9 @@
     EXPECT_TRUE(has(R"(app_transactions_total{group="a\"b\\c\nd",state="deferred"} 2)"));
     EXPECT_TRUE(has("app_sends_total 7"));
     EXPECT_TRUE(has("app_current 0"));
-    for (const char* name : {"transactions_total counter", "sends_total counter", "current gauge",
-                             "cluster_size gauge", "cluster_unhealthy gauge"})
+    for (const char* name :
+         {"transactions_total counter", "sends_total counter", "uploads_given_up_total counter",
+          "current gauge", "cluster_size gauge", "cluster_unhealthy gauge"})
         EXPECT_TRUE(has(std::string("# TYPE app_") + name));
 }
 
