Answer what comes in a stop before the platform may kill the process

Cause: a request that is read in the drain kept its whole time, here until 4.25 s behind SIGTERM; the loop that ends the process bounded only requests that were not whole.

Evidence: hypotheses were (a) such requests wait without a timer, (b) they have their own time, which ends behind SIGKILL. Where nothing kills it, the program before answers the last of them 504 at 2051 ms, at their own deadline, where SIGKILL may come at 1500 ms.

Change: at SIGTERM the front gets the latest moment for responses, the longest deadline (3 s at most) and 0.5 s behind the signal. It bounds the deadline of each request that becomes whole from then on; the engine's timers, the balancer's queue and retries and the time that servers are told go by that deadline already, so it holds for all of them and for any site's deadlines. Behind that moment requests are refused at once, and a body that still comes is ended whatever of it is unread. The process stays 0.1 s longer, for clients that still send to read their answer. Logged, and counted as app_stop_given_up_total.

--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -47,6 +47,9 @@
     describe(out, "app_uploads_given_up_total", "counter",
              "Request bodies that their server did not take in time.");
     put(out, "app_uploads_given_up_total", counters.uploads_given_up.get());
+    describe(out, "app_stop_given_up_total", "counter",
+             "Requests that a stop ended before their own deadline.");
+    put(out, "app_stop_given_up_total", counters.given_up_for_stop.get());
     describe(out, "app_current", "gauge", "Requests taken and not ended.");
     put(out, "app_current", std::max<std::int64_t>(0, counters.active_requests.get()));
     describe(out, "app_cluster_size", "gauge", "Servers in the list.");
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -45,8 +45,10 @@
 // longer. Before, they would come back here; later, they would send on what stays open till this process is
 // killed.
 constexpr std::chrono::milliseconds kRestEnds{450};
-// Beside a process that has taken over: the platform kills what is left after the longest deadline and 0.7 s.
+// The platform kills what is left after the longest deadline and 0.7 s. Until then a node may be held up for
+// 0.15 s, and clients that still send have to read their answers.
 constexpr std::chrono::milliseconds kStopLate{500};
+constexpr std::chrono::milliseconds kStopLinger{600};
 constexpr Duration kDeadlineMost{3000};
 constexpr std::chrono::milliseconds kListWait{
     2000};  // for the first answer of discovery's, beside another process
@@ -380,12 +382,13 @@
     asio::signal_set stop(io, SIGTERM, SIGINT);
     asio::steady_timer look(io);
     std::chrono::steady_clock::time_point stopped_at;
-    auto stop_most =
-        std::chrono::duration_cast<std::chrono::milliseconds>(longest(config.settings)) + kStopLate;
+    const auto longest_deadline =
+        std::chrono::duration_cast<std::chrono::milliseconds>(longest(config.settings));
     std::function<void()> end_when_quiet = [&] {
         auto since = std::chrono::steady_clock::now() - stopped_at;
         bool waited = since >= kDrainLeast, answered = engine.open_requests() == 0;
-        bool late = since >= stop_most;
+        bool late = since >= longest_deadline + kStopLate;
+        bool lingered = since >= longest_deadline + kStopLinger;
         if (since >= kRestEnds) front->end_resting();
         if (late) front->end_half_sent();
         if (std::size_t unread = late ? front->end_unread() : 0)
@@ -394,14 +397,15 @@
         // Where the listener was handed down, whoever took over has it, and this process is over with its
         // last client. Clients that have yet to close are waited for as long as there is time; an answer that
         // is owed, for longer.
-        bool over = (waited || config.inherited) && answered && (late || front->empty()) && front->quiet();
+        bool over =
+            (waited || config.inherited) && answered && (lingered || front->empty()) && front->quiet();
         if (over) return io.stop();
         look.expires_after(kDrainLook);
         look.async_wait([&](boost::system::error_code) { end_when_quiet(); });
     };
     stop.async_wait([&](boost::system::error_code error, int signal) {
         if (error) return;
-        front->drain();
+        front->drain(engine.now() + longest_deadline + kStopLate);
         if (fleet) fleet->leave();
         show();
         log_line("stopping: %zu requests to answer", engine.open_requests());  // what it says is seen by then
--- a/src/engine/counters.h
+++ b/src/engine/counters.h
@@ -33,6 +33,7 @@
     std::vector<Class> classes;
     Counter active_requests;        ///< accepted, neither responded to completely nor abandoned by the client
     Counter attempts_sent;          ///< attempts written completely to a server
+    Counter given_up_for_stop;      ///< requests that a stop ended before their own deadline
     Counter uploads_given_up;       ///< request bodies that their server did not take in time
     Counter listed_endpoints;       ///< servers in the list
     Counter unavailable_endpoints;  ///< listed servers that get no new requests
--- a/src/figures/figures.h
+++ b/src/figures/figures.h
@@ -63,6 +63,11 @@
     /// It gets no answer, or not all of one.
     void left(const Request& request);
 
+    /// A request was ended before its own deadline, as the process stops. Counted beside the request's own
+    /// end.
+    void given_up_for_stop() {
+        if (counters_) counters_->given_up_for_stop.add();
+    }
     /// A server did not take a request's body in time. Counted beside the request's own end.
     void upload_given_up() {
         if (counters_) counters_->uploads_given_up.add();
--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -259,7 +259,7 @@
     drop_upload();
     figured_ = front_.figures().came(class_, tenant_, heard_);
     if (unread_.view().empty()) unread_.release();
-    front_.engine().body_received(request_, came_ + patience_);
+    front_.engine().body_received(request_, limit_by_stop(came_ + patience_));
     if (state_ == State::Waiting) watch_client();
 }
 
@@ -274,6 +274,19 @@
     drop_upload();
 }
 
+// A process that is told to stop is killed some time behind the longest deadline: what comes meanwhile has
+// less time than its client gives it, or its client would see the connection break.
+TimePoint ClientSession::limit_by_stop(TimePoint deadline) {
+    limited_by_stop_ = deadline > front_.respond_by();
+    return std::min(deadline, front_.respond_by());
+}
+
+void ClientSession::count_given_up_for_stop() {
+    log(LogLevel::Warn, "stopping: a request ends before its own deadline",
+        {{"class", class_ == kNone ? "-" : front_.class_name(class_)}});
+    front_.figures().given_up_for_stop();
+}
+
 void ClientSession::dispatch() {
     again_ = !std::exchange(first_, false);
     front_.was_read();
@@ -300,6 +313,12 @@
         close_after_ = true;
         return reject(reading.status, reading.status == 405 ? "Allow: " + reading.allow + "\r\n" : "");
     }
+    TimePoint& deadline = reading.call.request.deadline;
+    deadline = limit_by_stop(deadline);
+    if (limited_by_stop_ && entered_ >= deadline) {
+        count_given_up_for_stop();
+        return refuse(front_.admission().reject_connection(entered_, admission_request_));
+    }
     if (entered_ - came_ >= front_.lag().most(reading.patience) && reading.patience.count() > 0)
         return refuse(front_.admission().reject_connection(entered_, admission_request_));
     if (!front_.profile().makes_trace_ids) {
@@ -402,6 +421,8 @@
     TimePoint now = front_.engine().now();
     front_.admission().complete(now, admission_request_, reply.status == FinalStatus::Served, now - entered_,
                                 reply.server_took);
+    if (limited_by_stop_ && reply.status != FinalStatus::Served && now >= front_.respond_by())
+        count_given_up_for_stop();
     if (reply.status == FinalStatus::Rejected)
         return refuse(front_.admission().reject(now, admission_request_));
     if (reply.status == FinalStatus::Failed) return reject(reply.timed_out ? 504 : 502);
@@ -634,8 +655,11 @@
     return state_ == State::Reading && begun_ && since_ == since;
 }
 
+// A body that still comes has no time left, also where more of it is unread: what comes behind the node's end
+// would never be answered.
 void ClientSession::end_half_sent() {
-    if (state_ == State::Waiting && upload_ && (upload_->blocked() || !unread_in_socket())) {
+    if (state_ == State::Waiting && upload_) {
+        count_given_up_for_stop();
         call_off();
         close_after_ = true;
         return reject(408);
--- a/src/http/client_session.h
+++ b/src/http/client_session.h
@@ -61,6 +61,8 @@
     bool half_sent();
     bool parse();
     void dispatch();
+    TimePoint limit_by_stop(TimePoint deadline);
+    void count_given_up_for_stop();
     void begin_upload();
     void read_upload();
     bool parse_upload();
@@ -113,6 +115,7 @@
     bool upload_timer_set_ = false;
     std::uint64_t body_read_ = 0;  // bytes since a request began
     Duration patience_{};
+    bool limited_by_stop_ = false;  // its own deadline is later than the node's stop allows
     int class_ = kNone, tenant_ = kNone;
     std::uint64_t number_;
     AdmissionController::AdmissionRequest admission_request_;  // of the request that admission let in
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -71,8 +71,9 @@
     accept();
 }
 
-void Front::drain() {
+void Front::drain(TimePoint respond_by) {
     draining_ = true;
+    respond_by_ = respond_by;
     if (!shared_) return;
     error_code ignored;
     if (std::exchange(stood_, false))
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -41,9 +41,12 @@
     /// Connections are accepted from now on.
     void open();
     /// From now on each answer closes its connection. New ones are still taken, but from a listener that
-    /// others hold too: whatever waits there is theirs.
-    void drain();
+    /// others hold too: whatever waits there is theirs. Requests that become whole from now on are answered
+    /// by `respond_by`, whatever their own deadline: the process may be killed soon after it.
+    void drain(TimePoint respond_by);
     bool draining() const { return draining_; }
+    /// No deadline of a request that becomes whole now is later.
+    TimePoint respond_by() const { return respond_by_; }
     /// Ends connections that rest; called again and again, it ends each as it comes to rest. From the first
     /// call on no request that has been read behind another keeps its connection.
     void end_resting();
@@ -131,6 +134,7 @@
     int read_ = 0;        // requests since connections were last accepted
     bool stood_ = false;  // the queue, when the listener was last told
     bool draining_ = false, ending_ = false;
+    TimePoint respond_by_ = TimePoint::max();
 };
 
 }  // namespace ochrehub::http
--- a/tests/endings_run.h
+++ b/tests/endings_run.h
@@ -37,7 +37,8 @@
 
 /// The servers, in one thread: what had come by one look is noted before any of it is answered. The words of
 /// a target say what becomes of it: `hold` waits for release(), `full` is turned away then, with `first` only
-/// the first attempt is, `big`, `huge` and `long` have long answers.
+/// the first attempt is, a further attempt of one that is `stuck` waits, `big`, `huge` and `long` have long
+/// answers.
 class Servers {
 public:
     explicit Servers(std::vector<Listener*> listeners) : listeners_(std::move(listeners)) {
@@ -119,7 +120,8 @@
                         if (target.find("long") != std::string::npos)
                             answer = "HTTP/1.1 200 OK\r\nContent-Length: 16000000\r\n\r\n" +
                                      std::string(16000000, 'l');
-                        if (target.find("hold") != std::string::npos && times_[id] == 1)
+                        bool first = times_[id] == 1;
+                        if (target.find(first ? "hold" : "stuck") != std::string::npos)
                             held_[id] = {fd, answer};
                         else
                             answers.emplace_back(fd, answer);
@@ -280,7 +282,10 @@
     kill(node.pid, SIGSTOP);
     int status = 0;
     assert(waitpid(node.pid, &status, WUNTRACED) == node.pid);
-    assert(WIFSTOPPED(status) || (WIFEXITED(status) && WEXITSTATUS(status) == 0));
+    bool ended_well = WIFEXITED(status) && WEXITSTATUS(status) == 0;
+    if (!WIFSTOPPED(status) && !ended_well)
+        std::fprintf(stderr, "the node ended with wait status %#x\n", unsigned(status));
+    assert(WIFSTOPPED(status) || ended_well);
     return WIFSTOPPED(status);
 }
 
@@ -364,7 +369,7 @@
     std::function<void(const char* program, const char* config)> alone;  // on nodes of its own
 };
 
-// Of endings_leaving, _bodies, _uploads, _stopping and _sockets.cpp: parts whose rows
+// Of endings_leaving, _bodies, _uploads, _stopping, _stop_limit and _sockets.cpp: parts whose rows
 // go one after the other, and the parts beside each other.
 using Part = std::vector<Row>;
 std::vector<Part> leaving();
@@ -372,5 +377,6 @@
 std::vector<Part> stopping();
 std::vector<Part> sockets();
 std::vector<Part> uploads();
+std::vector<Part> stop_limits();
 
 }  // namespace ochrehub::run
--- a/tests/endings_uploads.cpp
+++ b/tests/endings_uploads.cpp
@@ -16,8 +16,11 @@
 /// One node, and a server that accepts connections and reads nothing by itself.
 class BlockedServer {
 public:
-    BlockedServer(const char* program, const char* config, const std::string& other_member = "")
-        : setup_(world_.setup(config, {{"$a", server_.address}}, false)) {
+    using Replacements = std::vector<std::pair<std::string, std::string>>;
+
+    BlockedServer(const char* program, const char* config, const std::string& other_member = "",
+                  Replacements settings = {})
+        : setup_(prepare(config, std::move(settings))) {
         int small = 4096;
         assert(setsockopt(server_.fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof small) == 0);
         node_.start(program, -1);
@@ -31,18 +34,28 @@
     }
     ~BlockedServer() {
         close(watch_);
-        node_.stop();
+        if (!ended_) node_.stop();
+    }
+    double until_over(const Stopping& stopping) {
+        ended_ = true;
+        return stopping.until_over(node_);
     }
     int connect() const { return world_.connect(); }
     const Node& node() const { return node_; }
     int accept() const { return accept4(server_.fd, nullptr, nullptr, SOCK_CLOEXEC); }
 
 private:
+    Setup prepare(const char* config, Replacements settings) {
+        settings.emplace_back("$a", server_.address);
+        return world_.setup(config, std::move(settings), false);
+    }
+
     World world_;
     Listener server_;
     Setup setup_;
     Node node_;
     int watch_ = -1;
+    bool ended_ = false;
 };
 
 std::string head_of_upload(const std::string& framing) {
@@ -172,6 +185,26 @@
     }
 }
 
+/// The body becomes whole in a stop, at a server that hangs: its own time ends behind the moment in which the
+/// platform may kill the process.
+void blocked_upload_in_a_stop(const char* program, const char* config) {
+    constexpr double kKillAtMs = 800 + 700;
+    BlockedServer server(program, config, "", {{"\"GiveUp\":60000.0", "\"GiveUp\":800.0"}});
+    int fd = server.connect();
+    put(fd, head_of_upload("Transfer-Encoding: chunked"));
+    send_until_unread(fd, chunk());
+    Stopping stopping(server.node());
+    while (ms_since(stopping.at) < 200) usleep(1000);
+    put(fd, "4\r\npppp\r\n");  // it is not given up before
+    while (ms_since(stopping.at) < 750) usleep(1000);
+    put(fd, "0\r\n\r\n");
+    auto answer = answer_after(fd, stopping.at);
+    double over = server.until_over(stopping);
+    std::printf("%-28s answered %s %.0f ms behind SIGTERM, over at %.0f ms\n", "blocked_upload_in_a_stop",
+                answer.first.c_str(), answer.second, over);
+    assert(answer.first == "HTTP/1.1 408" && answer.second > 1250 && over < kKillAtMs);
+}
+
 }  // namespace
 
 std::vector<Part> uploads() {
@@ -179,6 +212,7 @@
              {"whole_upload_read_in_a_trickle", {}, whole_upload_read_in_a_trickle},
              {"partial_upload_of_a_vanished_server", {}, partial_upload_of_a_vanished_server}},
             {{"whole_upload_with_length_unread", {}, whole_upload_with_length_unread},
+             {"blocked_upload_in_a_stop", {}, blocked_upload_in_a_stop},
              {"retried_upload_unread", {}, retried_upload_unread}}};
 }
 
--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -82,7 +82,7 @@
     EXPECT_TRUE(has("app_current 0"));
     for (const char* name :
          {"transactions_total counter", "sends_total counter", "uploads_given_up_total counter",
-          "current gauge", "cluster_size gauge", "cluster_unhealthy gauge"})
+          "stop_given_up_total counter", "current gauge", "cluster_size gauge", "cluster_unhealthy gauge"})
         EXPECT_TRUE(has(std::string("# TYPE app_") + name));
 }
 
