Handle signals from before the node listens

Cause: the second address listens, and answers from a thread of its own, before the handlers are set.

Evidence: hypotheses were (a) the stop crashes, (b) the signal's default ends it.

Change: the handlers are set before anything listens; what comes before the wait is kept.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -233,6 +233,9 @@
     auto rev = [&] { return "file rev " + std::to_string(revision); };
     BufferPool pool(config.memory_mb);  // before the loop: pending handlers still hold buffers when it goes
     asio::io_context io{1};
+    // Before anything listens: without a handler a signal ends the process. One that comes before the wait
+    // for it is kept until then.
+    asio::signal_set stop(io, SIGTERM, SIGINT), hup(io, SIGHUP);
     const std::size_t reserved =
         (config.control ? admin::AdminServer::kDescriptors : 0) +
         (plan.fleet.on ? membership::MembershipService::kDescriptors : 0) +
@@ -339,7 +342,6 @@
     // SIGHUP: all files are read and checked whole before any of them counts. Only where servers are found
     // and what operators switch on can change under way: the classes that rules may name are those of the
     // start.
-    asio::signal_set hup(io, SIGHUP);
     std::function<void()> reload_on_hup = [&] {
         hup.async_wait([&](boost::system::error_code error, int) {
             if (error) return;
@@ -379,7 +381,6 @@
     };
     reload_on_hup();
 
-    asio::signal_set stop(io, SIGTERM, SIGINT);
     asio::steady_timer look(io);
     std::chrono::steady_clock::time_point stopped_at;
     const auto longest_deadline =
--- a/tests/endings_stop_limit.cpp
+++ b/tests/endings_stop_limit.cpp
@@ -163,6 +163,38 @@
     assert(stopping.until_over() < stopping.kill_at_ms());
 }
 
+/// The signals that a process handles, a bit each, as its system has them.
+unsigned long handled_signals(pid_t pid) {
+    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+    for (std::string line; std::getline(status, line);)
+        if (line.starts_with("SigCgt:")) return std::strtoul(line.c_str() + 7, nullptr, 16);
+    return 0;
+}
+
+/// A signal that came when the node said that it is ready, and handled none yet, ended it over its requests.
+void signals_from_the_start(const char* program, const char* config) {
+    constexpr int kStarts = 30;
+    constexpr unsigned long kNeeded = 1UL << (SIGTERM - 1) | 1UL << (SIGINT - 1) | 1UL << (SIGHUP - 1);
+    int unhandled = 0;
+    for (int i = 0; i < kStarts; ++i) {
+        World world;
+        Setup setup = world.setup(config);
+        Node node;
+        node.start(program, -1);
+        int control = -1;
+        while ((control = connected(node.control)) < 0) {
+        }
+        unhandled += (handled_signals(node.pid) & kNeeded) != kNeeded;
+        close(control);
+        kill(node.pid, SIGKILL);
+        waitpid(node.pid, nullptr, 0);
+    }
+    std::printf("%-28s %d of %d starts listened before they handled signals\n", "signals_from_the_start",
+                unhandled, kStarts);
+    std::fflush(stdout);
+    assert(unhandled == 0);
+}
+
 }  // namespace
 
 std::vector<Part> stop_limits() {
@@ -173,7 +205,8 @@
     };
     return {{{"late_requests_of_hanging_servers", {}, with({})},
              {"request_at_the_end_of_a_stop", {}, request_at_the_end_of_a_stop},
-             {"upload_through_a_stop", {}, upload_through_a_stop}},
+             {"upload_through_a_stop", {}, upload_through_a_stop},
+             {"signals_from_the_start", {}, signals_from_the_start}},
             {{"late_requests_long_deadline", {}, with({60000, false})}},
             {{"late_requests_short_deadline", {}, with({200, false})},
              {"late_requests_handed_down", {}, with({800, true})}}};
