Split the client session by its jobs: uploads and responses

Change: client_upload.cpp forwards long bodies, client_response.cpp writes responses, retry_after_header stands with the other header text in message.cpp; constants say what they bound.

--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -4,8 +4,6 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
-#include <cstdio>
-#include <iterator>
 #include <utility>
 
 #include "base/log.h"
@@ -18,22 +16,16 @@
 
 namespace {
 
-constexpr std::chrono::seconds kWriteMost{10};  // for the next piece of an answer
-constexpr std::chrono::seconds kLingerMost{1};
-constexpr std::chrono::seconds kUploadLingerMost{
-    10};  // a long body goes on coming while its client hears of the answer
-constexpr std::chrono::milliseconds kUnreadMost{
-    500};  // a client that takes nothing for so long, while the node stops
-constexpr std::chrono::milliseconds kFirstMost{100};  // a new connection's request may still be on its way
-constexpr double kSlowest = 32;  // bytes a millisecond of a short one, once its head is there
-std::string retry_after(Duration back) {
-    if (back.count() <= 0) return {};
-    std::array<char, 48> text;
-    std::snprintf(text.data(), text.size(), "Retry-After: %.3f\r\n", back.count() / 1000);
-    return text.data();
-}
-
-constexpr int kReadsAtOnce = 4;  // then others have their turn: one that never stops must not hold the loop
+constexpr std::chrono::seconds kMaxWriteStall{10};
+constexpr std::chrono::seconds kMaxLinger{1};
+/// A long body goes on coming until its client has read the response.
+constexpr std::chrono::seconds kMaxUploadLinger{10};
+/// While the node stops: of a response that its client does not read.
+constexpr std::chrono::milliseconds kMaxUnreadAtStop{500};
+/// The request of a newer connection may still be on its way.
+constexpr std::chrono::milliseconds kMinNewConnectionAge{100};
+/// Of a body that is held whole, once its head is there.
+constexpr double kMinBodyBytesPerMs = 32;
 
 }  // namespace
 
@@ -89,13 +81,13 @@
 }
 
 void ClientSession::read() {
-    for (int reads = 0; reads < kReadsAtOnce; ++reads) {
+    for (int reads = 0; reads < kMaxReadsPerTurn; ++reads) {
         if (!unread_ && front_.pool().scarce()) {  // many requests half sent must not cost more than there is
             close_after_ = true;
             if (!begun_)
                 heard_ = Steady::now();  // nothing of it has been read: the figures time it from here
             return reject_unread(
-                503, retry_after(front_.admission().reject_connection(front_.engine().now(), {})));
+                503, retry_after_header(front_.admission().reject_connection(front_.engine().now(), {})));
         }
         if (!unread_) unread_ = front_.pool().take();
         Received got = receive(socket_, unread_.free_space(), unread_.room());
@@ -153,127 +145,6 @@
     return false;
 }
 
-// A body that no buffer holds goes to a server as it comes. Its request is decided on now; its time runs from
-// its last byte.
-void ClientSession::begin_upload() {
-    auto stream = std::make_shared<BodyStream>(front_.io(), front_.pool());
-    parser_->pass_rest_to(stream);
-    upload_ = std::make_unique<Upload>(std::move(stream));
-    dispatch();
-    if (state_ == State::Waiting) read_upload();
-}
-
-void ClientSession::read_upload() {
-    if (state_ != State::Waiting || !upload_) return;
-    for (int reads = 0; parse_upload() && reads < kReadsAtOnce; ++reads) {
-        if (!unread_) unread_ = front_.pool().take();
-        Received got = receive(socket_, unread_.free_space(), unread_.room());
-        if (got.error == asio::error::would_block) break;
-        if (got.error) return end();
-        heard_ = Steady::now();
-        came_ = front_.engine().now() - got.age;
-        body_read_ += got.bytes;
-        upload_->received(heard_ - std::chrono::duration_cast<Steady::duration>(got.age), body_read_);
-        unread_.grow(got.bytes);
-    }
-    if (state_ != State::Waiting || !upload_ || upload_->blocked()) return;
-    if (unread_.view().empty()) unread_.release();
-    socket_.async_wait(asio::ip::tcp::socket::wait_read,
-                       [self = shared_from_this(), watch = ++watch_](error_code error) {
-                           if (watch != self->watch_ || self->state_ != State::Waiting) return;
-                           error ? self->end() : self->read_upload();
-                       });
-}
-
-/// False: it needs no more bytes now.
-bool ClientSession::parse_upload() {
-    while (!unread_.view().empty()) {
-        error_code bad;
-        std::size_t used = parser_->put(asio::buffer(unread_.view().data(), unread_.view().size()), bad);
-        unread_.drop_front(used);
-        if (bad == boost::beast::http::error::need_buffer) {
-            block_upload();
-            return false;
-        }
-        if (bad == boost::beast::http::error::need_more && unread_.room() > 0) return true;
-        if (bad) {
-            call_off();
-            close_after_ = true;
-            reject(bad == boost::beast::http::error::body_limit ? 413 : 400);
-            return false;
-        }
-        if (parser_->is_done()) {
-            end_upload();
-            return false;
-        }
-    }
-    return true;
-}
-
-// What is unread then may be the rest of the body, and its client's time runs.
-void ClientSession::block_upload() {
-    upload_->block();
-    upload_->stream().wait_for_room([self = shared_from_this(), upload = upload_.get()] {
-        if (self->upload_.get() != upload) return;
-        upload->unblock();
-        self->heard_ = Steady::now();
-        self->read_upload();
-    });
-    if (!upload_timer_set_) check_upload_at(upload_->first_check());
-}
-
-// Once for the client's patience at most, however often the upload is blocked meanwhile.
-void ClientSession::check_upload_at(Steady::time_point at) {
-    if (!upload_timer_) upload_timer_.emplace(front_.io());
-    upload_timer_set_ = true;
-    upload_timer_->expires_at(at);
-    upload_timer_->async_wait([self = shared_from_this(), upload = upload_.get()](error_code stopped) {
-        if (stopped || self->upload_.get() != upload) return;
-        self->upload_timer_set_ = false;
-        if (upload->blocked()) self->check_blocked_upload();
-    });
-}
-
-// The engine ends the attempt, of which the server does not have the last byte, and has the request answered.
-void ClientSession::check_blocked_upload() {
-    UnreadBody unread = unread_body();
-    if (auto again = upload_->next_check(unread, Steady::now())) return check_upload_at(*again);
-    log(LogLevel::Warn, "a server does not take a request's body: given up",
-        {{"class", front_.class_name(class_)}, {"read", body_read_}, {"unread", unread.bytes.value_or(0)}});
-    front_.figures().upload_given_up();
-    front_.engine().body_received(request_, front_.engine().now());
-}
-
-UnreadBody ClientSession::unread_body() {
-    UnreadBody unread;
-    error_code unknown;
-    std::size_t in_socket = socket_.available(unknown);
-    if (!unknown) unread.bytes = unread_.view().size() + in_socket;
-    if (auto remaining = parser_->content_length_remaining()) unread.remaining = *remaining;
-    unread.age = since_last_arrival(socket_.native_handle());
-    return unread;
-}
-
-void ClientSession::end_upload() {
-    upload_->stream().end();
-    drop_upload();
-    figured_ = front_.figures().came(class_, tenant_, heard_);
-    if (unread_.view().empty()) unread_.release();
-    front_.engine().body_received(request_, limit_by_stop(came_ + patience_));
-    if (state_ == State::Waiting) watch_client();
-}
-
-void ClientSession::drop_upload() {
-    upload_.reset();
-    if (upload_timer_) upload_timer_->cancel();
-    upload_timer_set_ = false;
-}
-
-void ClientSession::break_off_upload() {
-    upload_->stream().break_off();
-    drop_upload();
-}
-
 // A process that is told to stop is killed some time behind the longest deadline: what comes meanwhile has
 // less time than its client gives it, or its client would see the connection break.
 TimePoint ClientSession::limit_by_stop(TimePoint deadline) {
@@ -413,156 +284,6 @@
     return close_after_ || (front_.draining() && (front_.ending() || unread_.view().empty()));
 }
 
-void ClientSession::respond(FinalResponse reply) {
-    if (state_ != State::Waiting) return;
-    error_code ignored;
-    socket_.cancel(ignored);  // the watch
-    if (!trace_.empty()) front_.release(trace_);
-    TimePoint now = front_.engine().now();
-    front_.admission().complete(now, admission_request_, reply.status == FinalStatus::Served, now - entered_,
-                                reply.server_took);
-    if (limited_by_stop_ && reply.status != FinalStatus::Served && now >= front_.respond_by())
-        count_given_up_for_stop();
-    if (reply.status == FinalStatus::Rejected)
-        return refuse(front_.admission().reject(now, admission_request_));
-    if (reply.status == FinalStatus::Failed) return reject(reply.timed_out ? 504 : 502);
-    pass_on(std::static_pointer_cast<const HttpMessage>(std::move(reply.message)));
-}
-
-/// An answer of a server's.
-void ClientSession::pass_on(std::shared_ptr<const HttpMessage> message) {
-    int status = message->status;
-    bool until_close = message->rest && !message->length && http_1_0_;
-    if (until_close || upload_) close_after_ = true;
-    close_after_ = last();
-    std::optional<std::uint64_t> length = message->body_view().size();
-    if (message->rest) length = message->length;
-    if (status == 204 || status == 304)
-        length.reset();
-    else if (head_only_)  // how long the body would have been, where the server says so
-        length = read_number<std::uint64_t>(message->header("Content-Length"));
-    std::string head = answer_head(status, length, close_after_);
-    bool chunked = message->rest && !length && !until_close;
-    if (chunked) put_header(head, "Transfer-Encoding", "chunked");
-    if (http_1_0_ && !close_after_) put_header(head, "Connection", "keep-alive");
-    auto is_report = [](const auto& header) { return same_name(header.first, "Endpoint-Load-Metrics"); };
-    Headers headers;
-    std::remove_copy_if(message->headers.begin(), message->headers.end(), std::back_inserter(headers),
-                        is_report);
-    if (rewrites_) rewrites_->answer(headers, class_name_, path_);
-    for (const auto& [name, value] : headers)
-        if (!hop_by_hop(name)) put_header(head, name, value);
-    respond(status, head + "\r\n", std::move(message), chunked);
-}
-
-void ClientSession::refuse(Duration back) {
-    reject(503, retry_after(back));
-}
-
-/// An answer of the node's own, without a body.
-void ClientSession::reject(int status, const std::string& extra) {
-    close_after_ = last() || bool(upload_);
-    std::string head = answer_head(status, 0, close_after_);
-    if (http_1_0_ && !close_after_) put_header(head, "Connection", "keep-alive");
-    respond(status, head + extra + "\r\n", nullptr, false);
-}
-
-/// The same to a request that is not whole or cannot be read, of what is known of it so far.
-void ClientSession::reject_unread(int status, const std::string& extra) {
-    const RequestArrived known = front_.calls().read(parser_->message(), came_).call.request;
-    figured_ = front_.figures().came(known.class_index, known.tenant, heard_, false);
-    reject(status, extra);
-}
-
-void ClientSession::respond(int status, std::string head, std::shared_ptr<const HttpMessage> body,
-                            bool chunked) {
-    status_ = status;
-    if (upload_) {  // answered before all of it was there: what still comes is read and means nothing
-        figured_ = front_.figures().came(class_, tenant_, heard_);
-        break_off_upload();
-        long_linger_ = true;
-    }
-    outgoing_.set(std::move(head), std::move(body), chunked);
-    taken_.reset();
-    enter(State::Writing);
-    write();
-}
-
-void ClientSession::write() {
-    Outgoing::State state = outgoing_.write_to(socket_);
-    blocked_ = state == Outgoing::State::Blocked;
-    if (!blocked_) since_ = Steady::now();
-    if (state == Outgoing::State::Failed) return end();
-    if (state == Outgoing::State::Whole) return write_rest() ? next() : void();
-    socket_.async_wait(asio::ip::tcp::socket::wait_write, [self = shared_from_this()](error_code failed) {
-        if (self->state_ != State::Writing) return;
-        failed ? self->end() : self->write();
-    });
-}
-
-/// True once all of the answer has been written; else it goes on by itself.
-bool ClientSession::write_rest() {
-    switch (outgoing_.next()) {
-        case Outgoing::Next::Over:
-            return true;
-        case Outgoing::Next::Piece:
-            write();
-            return false;
-        case Outgoing::Next::Broken: {  // a client that cannot see it from a length must see it from a reset
-            error_code ignored;
-            if (http_1_0_) socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-            end();
-            return false;
-        }
-        case Outgoing::Next::Wait:
-            watch_reader();
-            outgoing_.rest().wait_for_data([self = shared_from_this(), watch = watch_] {
-                if (self->state_ != State::Writing || watch != self->watch_) return;
-                error_code ignored;
-                self->socket_.cancel(ignored);
-                ++self->watch_;
-                self->since_ = Steady::now();
-                if (self->write_rest()) self->next();
-            });
-            return false;
-    }
-    return true;
-}
-
-// While nothing is there to write, only this shows that the client has gone. What it sends on is left for
-// later.
-void ClientSession::watch_reader() {
-    socket_.async_wait(asio::ip::tcp::socket::wait_error,
-                       [self = shared_from_this(), watch = ++watch_](error_code error) {
-                           if (watch == self->watch_ && self->state_ == State::Writing && !error) self->end();
-                       });
-}
-
-void ClientSession::next() {
-    outgoing_.clear();
-    if (figured_) front_.figures().answered(*figured_, status_);
-    figured_.reset();
-    class_ = tenant_ = kNone;
-    // A connection that stands idle keeps neither rules that have been replaced nor a long path.
-    rewrites_.reset();
-    std::string().swap(path_);
-    if (close_after_) return linger();
-    parser_.emplace(front_.pool(), front_.profile().body_bytes());
-    begun_ = told_to_continue_ = long_linger_ = false;
-    body_read_ = unread_.view().size();
-    enter(State::Reading);
-    if (!unread_) {
-        stand(again_ ? Standing::Idle : Standing::Once);
-        return wait_to_read();
-    }
-    // The next request came along with the last. Read later: a buffer full of small ones, each answered from
-    // inside the one before, would use up the stack.
-    begun_ = true;
-    asio::post(socket_.get_executor(), [self = shared_from_this()] {
-        if (self->state_ == State::Reading && !self->parse()) self->wait_to_read();
-    });
-}
-
 // Closing with bytes unread would reset the connection, and the answer with it: waits for the client's close.
 void ClientSession::linger() {
     if (state_ != State::Lingering) {
@@ -594,7 +315,7 @@
 }
 
 bool ClientSession::end_unread() {
-    if (state_ != State::Writing || !(blocked_ || owes()) || taken_.stood() < kUnreadMost) return false;
+    if (state_ != State::Writing || !(blocked_ || owes()) || taken_.stood() < kMaxUnreadAtStop) return false;
     end();
     return true;
 }
@@ -615,7 +336,8 @@
 void ClientSession::close() {
     if (state_ == State::Reading && begun_) {
         close_after_ = true;
-        reject_unread(503, retry_after(front_.admission().reject_connection(front_.engine().now(), {})));
+        reject_unread(503,
+                      retry_after_header(front_.admission().reject_connection(front_.engine().now(), {})));
     }
     if (state_ == State::Lingering) drop_unread();
     end();
@@ -638,7 +360,9 @@
 }
 
 void ClientSession::end_rest() {
-    if (state_ != State::Reading || begun_ || (first_ && stood() < kFirstMost) || unread_in_socket()) return;
+    if (state_ != State::Reading || begun_ || (first_ && stood() < kMinNewConnectionAge) ||
+        unread_in_socket())
+        return;
     linger();
 }
 
@@ -671,12 +395,12 @@
 
 bool ClientSession::late() const {
     if (state_ == State::Waiting) return upload_ && upload_->client_too_slow();
-    if (state_ == State::Writing) return taken_.too_slow() || (!blocked_ && stood() > kWriteMost);
+    if (state_ == State::Writing) return taken_.too_slow() || (!blocked_ && stood() > kMaxWriteStall);
     auto most = [this]() -> Steady::duration {
-        if (state_ == State::Lingering) return long_linger_ ? kUploadLingerMost : kLingerMost;
+        if (state_ == State::Lingering) return long_linger_ ? kMaxUploadLinger : kMaxLinger;
         if (!begun_) return front_.profile().client_idle;
         // A body may be slow, but not as slow as it likes.
-        Duration of_body{parser_->is_header_done() ? double(body_read_) / kSlowest : 0};
+        Duration of_body{parser_->is_header_done() ? double(body_read_) / kMinBodyBytesPerMs : 0};
         return front_.profile().request_most + std::chrono::duration_cast<Steady::duration>(of_body);
     };
     return (state_ == State::Reading || state_ == State::Lingering) && stood() > most();
--- a/src/http/client_session.h
+++ b/src/http/client_session.h
@@ -50,6 +50,9 @@
     bool read_now();
 
 private:
+    /// Then others have their turn: a client that never stops must not hold the loop.
+    static constexpr int kMaxReadsPerTurn = 4;
+
     enum class State { Reading, Waiting, Writing, Lingering, Closed };
 
     void enter(State state);
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -57,4 +57,11 @@
     return head;
 }
 
+std::string retry_after_header(Duration delay) {
+    if (delay.count() <= 0) return {};
+    std::array<char, 48> text;
+    std::snprintf(text.data(), text.size(), "Retry-After: %.3f\r\n", delay.count() / 1000);
+    return text.data();
+}
+
 }  // namespace ochrehub::http
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -169,4 +169,7 @@
 /// A whole answer's head; its body is `length` long, if it says so.
 std::string answer_head(int status, std::optional<std::uint64_t> length, bool close);
 
+/// The header line that advises a client when to retry; empty where `delay` is none.
+std::string retry_after_header(Duration delay);
+
 }  // namespace ochrehub::http
