Don't give up a body in chunks that still comes while its server pauses

Cause: the length of such a body is not known, so the unread bytes said nothing of its end.

Change: a body in chunks ends in an empty line, and so do its unread bytes then: the last four are peeked at, in one fixed block whatever lies there, and again only when the amount has changed. Where the kernel does not give them it is taken for whole as before. Data that ends alike is too.

--- a/src/http/client_session.h
+++ b/src/http/client_session.h
@@ -74,6 +74,7 @@
     void check_upload_at(Steady::time_point at);
     void check_blocked_upload();
     UnreadBody unread_body();
+    std::optional<bool> ends_like_chunked_body(std::size_t in_socket);
     void drop_upload();
     void break_off_upload();
     void rewrite(HttpMessage& request, int class_index);
@@ -116,6 +117,12 @@
     std::unique_ptr<Upload> upload_;  // of a body that is forwarded as it arrives, until all of it was read
     std::optional<boost::asio::steady_timer> upload_timer_;  // of a blocked upload; made with the first
     bool upload_timer_set_ = false;
+    /// What was last seen of a blocked body in chunks: nothing has changed while as much lies in the socket.
+    struct ChunkedEnd {
+        std::size_t in_socket;
+        bool found;
+    };
+    std::optional<ChunkedEnd> chunked_end_;
     std::uint64_t body_read_ = 0;  // bytes since a request began
     Duration patience_{};
     bool limited_by_stop_ = false;  // its own deadline is later than the node's stop allows
--- a/src/http/client_upload.cpp
+++ b/src/http/client_upload.cpp
@@ -1,5 +1,7 @@
 // The part of ClientSession that forwards a long request body while it arrives.
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <string_view>
 #include <utility>
 
 #include "base/log.h"
@@ -71,6 +73,7 @@
 // What is unread then may be the rest of the body, and its client's time runs.
 void ClientSession::block_upload() {
     upload_->block();
+    chunked_end_.reset();
     upload_->stream().wait_for_room([self = shared_from_this(), upload = upload_.get()] {
         if (self->upload_.get() != upload) return;
         upload->unblock();
@@ -106,12 +109,33 @@
     UnreadBody unread;
     error_code unknown;
     std::size_t in_socket = socket_.available(unknown);
-    if (!unknown) unread.bytes = unread_.view().size() + in_socket;
-    if (auto remaining = parser_->content_length_remaining()) unread.remaining = *remaining;
+    if (!unknown) {
+        unread.bytes = unread_.view().size() + in_socket;
+        if (auto remaining = parser_->content_length_remaining()) {
+            unread.complete = *unread.bytes >= *remaining;
+            unread.next_request_arrived = *unread.bytes > *remaining;
+        } else {
+            unread.complete = ends_like_chunked_body(in_socket);
+        }
+    }
     unread.age = since_last_arrival(socket_.native_handle());
     return unread;
 }
 
+// Each body in chunks ends in an empty line, also behind trailers, and so does a next request's head. Data
+// that ends alike is taken for an end: its client's time may have begun.
+std::optional<bool> ClientSession::ends_like_chunked_body(std::size_t in_socket) {
+    constexpr std::string_view kEnd = "\r\n\r\n";
+    if (chunked_end_ && chunked_end_->in_socket == in_socket) return chunked_end_->found;
+    std::optional<std::string> tail = peek_tail(socket_.native_handle(), in_socket, kEnd.size());
+    if (!tail) return {};
+    std::string_view buffered = unread_.view();
+    std::size_t missing = std::min(kEnd.size() - tail->size(), buffered.size());
+    bool found = std::string(buffered.substr(buffered.size() - missing)) + *tail == kEnd;
+    chunked_end_ = {in_socket, found};
+    return found;
+}
+
 void ClientSession::end_upload() {
     upload_->stream().end();
     drop_upload();
--- a/src/http/receive.cpp
+++ b/src/http/receive.cpp
@@ -9,9 +9,12 @@
 #include <time.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/error.hpp>
 #include <cerrno>
+#include <climits>
 #include <cstring>
+#include <vector>
 
 namespace ochrehub::http {
 
@@ -20,6 +23,7 @@
 
 namespace {
 
+constexpr std::size_t kPeekBlock = std::size_t{64} * 1024;
 constexpr Duration kTick{10};  // of the kernel's own count of milliseconds, at worst
 
 /// By the kernel's own state of it, unread bytes or not. Where that is not told, nothing is known.
@@ -66,6 +70,25 @@
     return Duration(info.tcpi_last_data_recv) + kTick;
 }
 
+// A peek begins at the first byte. All blocks are copied into one, so that it costs no memory: the byte at an
+// offset ends up at that offset's rest.
+std::optional<std::string> peek_tail(int socket, std::size_t unread, std::size_t count) {
+    if (unread == 0) return std::string();
+    static std::array<char, kPeekBlock> block;
+    std::vector<iovec> blocks;
+    for (std::size_t at = 0; at < unread; at += block.size())
+        blocks.push_back({block.data(), std::min(block.size(), unread - at)});
+    if (blocks.size() > IOV_MAX) return {};
+    msghdr message{};
+    message.msg_iov = blocks.data();
+    message.msg_iovlen = blocks.size();
+    if (recvmsg(socket, &message, MSG_PEEK | MSG_DONTWAIT) != ssize_t(unread)) return {};
+    std::string tail;
+    for (std::size_t at = unread - std::min(count, unread); at < unread; ++at)
+        tail += block[at % block.size()];
+    return tail;
+}
+
 int unacknowledged(int socket) {
     int bytes = 0;
     return ioctl(socket, SIOCOUTQ, &bytes) == 0 ? bytes : 0;
--- a/src/http/receive.h
+++ b/src/http/receive.h
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
 #include <optional>
+#include <string>
 
 #include "ochrehub/balancer.h"
 
@@ -25,6 +26,10 @@
 /// At most so long ago bytes last arrived, read or not; none where the kernel does not say.
 std::optional<Duration> since_last_arrival(int socket);
 
+/// The last bytes, `count` at most, of the `unread` that lie in it, all of which stay there; none where the
+/// kernel does not give them.
+std::optional<std::string> peek_tail(int socket, std::size_t unread, std::size_t count);
+
 struct Received {
     std::size_t bytes = 0;
     boost::system::error_code error;  ///< would_block, eof, ...
--- a/src/http/upload.cpp
+++ b/src/http/upload.cpp
@@ -28,14 +28,11 @@
 
 std::optional<Upload::Steady::time_point> Upload::next_check(const UnreadBody& unread,
                                                              Steady::time_point now) const {
-    bool length_known = unread.bytes && unread.remaining;
-    bool may_be_whole = !length_known || *unread.bytes >= *unread.remaining;
-    // Bytes of a next request behind the body would make it look younger than it is.
-    bool next_request_arrived = length_known && *unread.bytes > *unread.remaining;
     Steady::time_point arrived = last_arrival_;
-    if (unread.age && !next_request_arrived) arrived = std::max(arrived, now - steady(*unread.age));
+    // Bytes of a next request would make the body look younger than it is.
+    if (unread.age && !unread.next_request_arrived) arrived = std::max(arrived, now - steady(*unread.age));
     Steady::duration patience = steady(patience_);
-    if (may_be_whole) {
+    if (unread.complete.value_or(true)) {
         Steady::time_point deadline = arrived + patience;
         return deadline > now ? std::optional(deadline) : std::nullopt;
     }
--- a/src/http/upload.h
+++ b/src/http/upload.h
@@ -17,9 +17,10 @@
 
 /// What the node's machine has of a body, but the node has not read.
 struct UnreadBody {
-    std::optional<std::uint64_t> bytes;      ///< none: the kernel does not say
-    std::optional<std::uint64_t> remaining;  ///< of the body, those bytes included; none: it comes in chunks
-    std::optional<Duration> age;             ///< since bytes last arrived; none: the kernel does not say
+    std::optional<std::uint64_t> bytes;  ///< none: the kernel does not say
+    std::optional<bool> complete;        ///< they hold the body's end; none: unknown
+    bool next_request_arrived = false;   ///< ... and bytes behind it
+    std::optional<Duration> age;         ///< since bytes last arrived; none: the kernel does not say
 };
 
 class Upload {
--- a/tests/endings_uploads.cpp
+++ b/tests/endings_uploads.cpp
@@ -172,6 +172,37 @@
     expect_at("partial_upload_unread", answer, kMaxStallMs);
 }
 
+/// A server pauses for longer than the client's patience while the body still comes: its time has not begun,
+/// and it was given up all the same where its length is not known.
+void partial_upload_of_a_pausing_server(const char* program, const char* config) {
+    for (bool chunked : {true, false}) {
+        BlockedServer server(program, config);
+        int fd = server.connect();
+        constexpr std::size_t kLength = kPieceBytes * 1000;
+        put(fd, head_of_upload(chunked ? "Transfer-Encoding: chunked"
+                                       : "Content-Length: " + std::to_string(kLength)));
+        const std::string piece = chunked ? chunk() : std::string(kPieceBytes, 'p');
+        std::size_t sent = send_until_unread(fd, piece) / piece.size();
+        int reader = server.accept();
+        usleep(useconds_t(1.5 * kPatienceMs * 1000));
+        std::thread client([&] {
+            for (; sent < 1000; ++sent) put(fd, piece);
+            if (chunked) put(fd, "0\r\n\r\n");
+        });
+        std::string bytes(65536, 0);
+        pollfd readable{reader, POLLIN, 0};
+        while (poll(&readable, 1, 300) == 1) assert(read(reader, bytes.data(), bytes.size()) > 0);
+        client.join();
+        put(reader, kOk);
+        std::string behind, head = read_head(fd, behind);
+        std::printf("%-28s answered %s\n", "partial_upload_paused", head.substr(9, 3).c_str());
+        std::fflush(stdout);
+        assert(head.starts_with("HTTP/1.1 200"));
+        close(fd);
+        close(reader);
+    }
+}
+
 /// The second attempt meets the blocked server: its wait has the same end as a first one's.
 void retried_upload_unread(const char* program, const char* config) {
     Listener refuses(false);
@@ -210,6 +241,7 @@
 std::vector<Part> uploads() {
     return {{{"whole_upload_in_chunks_unread", {}, whole_upload_in_chunks_unread},
              {"whole_upload_read_in_a_trickle", {}, whole_upload_read_in_a_trickle},
+             {"partial_upload_of_a_pausing_server", {}, partial_upload_of_a_pausing_server},
              {"partial_upload_of_a_vanished_server", {}, partial_upload_of_a_vanished_server}},
             {{"whole_upload_with_length_unread", {}, whole_upload_with_length_unread},
              {"blocked_upload_in_a_stop", {}, blocked_upload_in_a_stop},
