Test of bodies with a length: look for the size in both directions

Cause: the search went down only; on a busy machine the first look takes a slow node for a blocked one and begins too low.

Change: each size that was read whole is followed by a larger one, each that was not whole by a smaller one, 100 at the most. What is expected of the answer is as before.

--- a/tests/endings_uploads.cpp
+++ b/tests/endings_uploads.cpp
@@ -124,10 +124,12 @@
     BlockedServer server(program, config);
     int probe = server.connect();
     put(probe, head_of_upload("Content-Length: 30000000"));
-    std::size_t capacity = send_until_unread(probe, std::string(kPieceBytes, 'p'));
+    std::size_t size = send_until_unread(probe, std::string(kPieceBytes, 'p'));
     close(probe);
-    // How much lies between the two sides differs by some pieces from one connection to the next.
-    for (std::size_t size = capacity + 4 * kPieceBytes; size > capacity / 2; size -= kPieceBytes) {
+    // How much lies between the two sides differs by some pieces from one connection to the next, and a busy
+    // node may have been taken for a blocked one.
+    constexpr int kMaxSizes = 100;
+    for (int sizes = 0; sizes < kMaxSizes; ++sizes) {
         int fd = server.connect();
         put(fd, head_of_upload("Content-Length: " + std::to_string(size)) + std::string(size, 'p'));
         Steady::time_point whole = Steady::now();
@@ -135,6 +137,7 @@
         if (is_whole && Far(fd).unread() > 0)
             return expect_at("whole_upload_with_length", answer_after(fd, whole), kPatienceMs);
         close(fd);
+        is_whole ? size += kPieceBytes : size -= kPieceBytes;
     }
     assert(!"a body that is whole at the node's machine, and unread");
 }
