--- a/lab/coordinator/simulated_coordinators.cpp
+++ b/lab/coordinator/simulated_coordinators.cpp
@@ -82,7 +82,7 @@
     raft::Raft& raft = *coordinators_[index].raft;
     const auto* read = std::get_if<raft::ReadIndex>(&event);
     if (read && is(CoordinatorMutant::ReadUnconfirmed)) {
-        actions.push_back(raft::ReadReady{read->id, 0});
+        actions.emplace_back(raft::ReadReady{read->id, 0});
         return;
     }
     const auto* propose = std::get_if<raft::Propose>(&event);
