--- a/review/stand-2/peer.cpp
+++ b/review/stand-2/peer.cpp
@@ -211,7 +211,16 @@
         if (sent && random_part() < option("second-of-full", 0)) send_again(line, answer, trace);
         return sent;
     }
-    record("box %s: begins %s %s", line->name.c_str(), kind.c_str(), trace.c_str());
+    if (box.id == text_option("hangs", "")) {  // takes requests and answers none
+        record("box %s: takes %s %s, answers none", line->name.c_str(), kind.c_str(), trace.c_str());
+        std::string dropped;
+        auto until = Steady::now() + std::chrono::seconds(60);
+        while (read_more(socket, dropped, until) == Got::Bytes) {
+        }
+        return false;
+    }
+    record("box %s: begins %s %s, told %s s", line->name.c_str(), kind.c_str(), trace.c_str(),
+           head.field("x-expires-in").c_str());
     double least = option("service-least", 20), most = option("service-most", 60);
     sleep_ms(least + (most - least) * random_part());
     record("box %s: ran %s %s", line->name.c_str(), kind.c_str(), trace.c_str());
@@ -406,8 +415,12 @@
     record("client: %s %s: %s, %d, after %.0f ms: %s", kind.name, trace.c_str(), how, answer.status, answer.took.count(),
            shown(answer.body).c_str());
     if (!answer.begun) return void(++unanswered);
-    // The last byte's time counts; a break that the client can tell is an end too.
-    if (answer.how == Answer::How::None || answer.took.count() > kind.patience_ms + 500) ++late;
+    // The last byte's time counts; a break that the client can tell is an end too. Half a second, and 0.1 s for the
+    // protocol page's slack and this process's own time.
+    if (answer.how == Answer::How::None || answer.took.count() > kind.patience_ms + 600) {
+        ++late;
+        record("client: LATE: %s %s", kind.name, trace.c_str());
+    }
     if (answer.how != Answer::How::Whole) return void(++failed);
     if (answer.status == 429 || answer.status == 503) return void(++refused);
     if (answer.status != 200) return void(++failed);
@@ -451,24 +464,46 @@
     if (socket >= 0) close(socket);
 }
 
-/// Several orders at once on one connection, in one write; then all answers.
+/// Several orders at once on one connection, in one write, and where `batches` says so as many again later, whatever
+/// has been answered by then; and all answers.
 void pipeline(int port, int number) {
     int socket = connect_to(port);
     if (socket < 0) std::exit(2);
+    const int at_once = int(option("at-once", 4)), batches = int(option("batches", 1));
+    const auto first = Steady::now();
+    auto sent_at = [=](int batch) {
+        return first + std::chrono::duration_cast<Steady::duration>(Ms(batch * option("batch-after-ms", 0)));
+    };
     std::vector<std::string> traces;
-    std::string all, bytes;
-    for (int i = 1; i <= int(option("at-once", 4)); ++i) {
-        traces.push_back(text_option("prefix", "t") + std::to_string(port) + "-" + std::to_string(number) + "-" + std::to_string(i));
-        all += request(kOrder, traces.back());
-        record("client: sends %s %s", kOrder.name, traces.back().c_str());
-        ++asked;
-    }
-    auto sent = Steady::now();
-    send_all(socket, all);
-    for (const std::string& trace : traces) {
-        Answer answer = read_answer(socket, bytes, sent, sent + std::chrono::milliseconds(int(kOrder.patience_ms) + 1500));
-        count(kOrder, trace, answer);
+    for (int i = 1; i <= at_once * batches; ++i)
+        traces.push_back(text_option("prefix", "t") + std::to_string(port) + "-" + std::to_string(number) + "-" +
+                         std::to_string(i));
+    auto send_batch = [&](int batch) {
+        std::string all;
+        for (int i = 0; i < at_once; ++i) {
+            const std::string& trace = traces[std::size_t(batch * at_once + i)];
+            all += request(kOrder, trace);
+            record("client: sends %s %s", kOrder.name, trace.c_str());
+            ++asked;
+        }
+        send_all(socket, all);
+    };
+    send_batch(0);
+    std::thread later([&] {
+        for (int batch = 1; batch < batches; ++batch) {
+            std::this_thread::sleep_until(sent_at(batch));
+            send_batch(batch);
+        }
+    });
+    std::string bytes;
+    for (std::size_t i = 0; i < traces.size(); ++i) {
+        auto sent = sent_at(int(i) / at_once);
+        Answer answer =
+            read_answer(socket, bytes, sent,
+                        sent + std::chrono::duration_cast<Steady::duration>(Ms(kOrder.patience_ms + option("stays-ms", 1500))));
+        count(kOrder, traces[i], answer);
     }
+    later.join();
     close(socket);
 }
 
