One rule for silence amid an answer: no sound one is cut, a silent one ends

Two faults, one commit: each alone makes the other worse, so one rule decides both.

What callers saw.

Connection::expect_more() gave a held answer up after max(0.3 s, a quarter of the request's time), whatever its length. stream_due() was looked at only when bytes came, needed a part of the body, and was skipped where the parser wanted more: parse() returned at need_more first, so chunked answers were held up to the request's time. Evidence: all that failed in lumps had an attempt closed 300 ms behind its head; steady pieces each 40 to 100 ms failed at the request's time in chunks only, never by length or close. And what was passed on could be silent for 15 s, as streams_end, which asked neither for silence nor for length, was off.

Change. src/http/response_timeouts.h states the rule and decides it: what may be longer than a buffer goes out 50 ms behind its first byte, by a timer, its head alone 20 ms before the request's time at the latest; a pause of up to 0.65 s is none; an answer of unknown length, no longer than a buffer so far, ends 0.4 s behind its time once it is silent; a longer one after 10 s of silence. HTTP/1.0 sees a reset. A stop ends what is silent. Logged, and counted in app_responses_given_up_total.

The two that set streams_end tested a profile that nobody runs, and one of them wanted a long answer cut that was still given; they now hold for the profile that runs, with an upper bound beside the lower one.

--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -47,6 +47,9 @@
     describe(out, "app_uploads_given_up_total", "counter",
              "Request bodies that their server did not take in time.");
     put(out, "app_uploads_given_up_total", counters.uploads_given_up.get());
+    describe(out, "app_responses_given_up_total", "counter",
+             "Responses that had begun and were given up because their server fell silent.");
+    put(out, "app_responses_given_up_total", counters.responses_given_up.get());
     describe(out, "app_stop_given_up_total", "counter",
              "Requests that a stop ended before their own deadline.");
     put(out, "app_stop_given_up_total", counters.given_up_for_stop.get());
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -395,6 +395,9 @@
         if (std::size_t unread = late ? front->end_unread() : 0)
             log(LogLevel::Warn, "stopping: answers that their clients did not read end unfinished",
                 {{"answers", unread}});
+        if (std::size_t silent = late ? front->end_silent() : 0)
+            log(LogLevel::Warn, "stopping: answers whose servers fell silent end unfinished",
+                {{"answers", silent}});
         // Where the listener was handed down, whoever took over has it, and this process is over with its
         // last client. Clients that have yet to close are waited for as long as there is time; an answer that
         // is owed, for longer.
--- a/src/discovery/watcher.cpp
+++ b/src/discovery/watcher.cpp
@@ -124,10 +124,9 @@
     bool here = connection->to() == discovery_;
     if (result.end != Connection::End::Answered || result.answer->status != 200) {
         why_ = result.end == Connection::End::Answered ? "the call was turned away" : "the call broke";
-        End how = result.end == Connection::End::NotSent ? End::Unheard
-                  : result.end == Connection::End::Garbage || result.end == Connection::End::TooLarge
-                      ? End::Spoilt
-                      : End::Refused;
+        bool spoilt = result.end == Connection::End::Garbage || result.end == Connection::End::TooLarge ||
+                      result.end == Connection::End::Stalled;
+        End how = result.end == Connection::End::NotSent ? End::Unheard : spoilt ? End::Spoilt : End::Refused;
         return happens(Ended{call, how});
     }
     ServerList list;
--- a/src/http/client_response.cpp
+++ b/src/http/client_response.cpp
@@ -82,6 +82,7 @@
     }
     outgoing_.set(std::move(head), std::move(body), chunked);
     taken_.reset();
+    waits_for_server_ = false;
     enter(State::Writing);
     write();
 }
@@ -106,19 +107,18 @@
         case Outgoing::Next::Piece:
             write();
             return false;
-        case Outgoing::Next::Broken: {  // a client that cannot see it from a length must see it from a reset
-            error_code ignored;
-            if (http_1_0_) socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-            end();
+        case Outgoing::Next::Broken:
+            end_unfinished_response();
             return false;
-        }
         case Outgoing::Next::Wait:
+            waits_for_server_ = true;
             watch_reader();
             outgoing_.rest().wait_for_data([self = shared_from_this(), watch = watch_] {
                 if (self->state_ != State::Writing || watch != self->watch_) return;
                 error_code ignored;
                 self->socket_.cancel(ignored);
                 ++self->watch_;
+                self->waits_for_server_ = false;
                 self->since_ = Steady::now();
                 if (self->write_rest()) self->next();
             });
@@ -127,6 +127,13 @@
     return true;
 }
 
+// A client that cannot see from a length that more was to come must see it from a reset.
+void ClientSession::end_unfinished_response() {
+    error_code ignored;
+    if (http_1_0_) socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    end();
+}
+
 // While nothing is there to write, only this shows that the client has gone. What it sends on is left for
 // later.
 void ClientSession::watch_reader() {
--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -8,6 +8,7 @@
 
 #include "base/log.h"
 #include "http/receive.h"
+#include "http/response_timeouts.h"
 
 namespace ochrehub::http {
 
@@ -16,12 +17,13 @@
 
 namespace {
 
-constexpr std::chrono::seconds kMaxWriteStall{10};
 constexpr std::chrono::seconds kMaxLinger{1};
 /// A long body goes on coming until its client has read the response.
 constexpr std::chrono::seconds kMaxUploadLinger{10};
 /// While the node stops: of a response that its client does not read.
 constexpr std::chrono::milliseconds kMaxUnreadAtStop{500};
+/// ... and of one whose server gives nothing more.
+constexpr std::chrono::milliseconds kMaxSilenceAtStop = ResponseTimeouts::kMaxPause;
 /// The request of a newer connection may still be on its way.
 constexpr std::chrono::milliseconds kMinNewConnectionAge{100};
 /// Of a body that is held whole, once its head is there.
@@ -316,7 +318,13 @@
 
 bool ClientSession::end_unread() {
     if (state_ != State::Writing || !(blocked_ || owes()) || taken_.stood() < kMaxUnreadAtStop) return false;
-    end();
+    end_unfinished_response();
+    return true;
+}
+
+bool ClientSession::end_silent() {
+    if (state_ != State::Writing || !waits_for_server_ || stood() < kMaxSilenceAtStop) return false;
+    end_unfinished_response();
     return true;
 }
 
@@ -395,7 +403,7 @@
 
 bool ClientSession::late() const {
     if (state_ == State::Waiting) return upload_ && upload_->client_too_slow();
-    if (state_ == State::Writing) return taken_.too_slow() || (!blocked_ && stood() > kMaxWriteStall);
+    if (state_ == State::Writing) return taken_.too_slow();  // a silent server is its connection's matter
     auto most = [this]() -> Steady::duration {
         if (state_ == State::Lingering) return long_linger_ ? kMaxUploadLinger : kMaxLinger;
         if (!begun_) return front_.profile().client_idle;
@@ -422,6 +430,7 @@
     }
     // A close resets a client that goes on sending, and what it has not got of its answer goes with it.
     bool cuts = state_ == State::Lingering && owes() && !taken_.too_slow();
+    if (state_ == State::Writing) return end_unfinished_response();
     if (!cuts) close();
 }
 
--- a/src/http/client_session.h
+++ b/src/http/client_session.h
@@ -43,6 +43,8 @@
     void look_after();
     /// Closes it where its client does not read its answer. True if it did.
     bool end_unread();
+    /// ... or where the server gives no more of it.
+    bool end_silent();
     /// It has stood for longer than it may.
     bool late() const;
     void time_out();
@@ -89,6 +91,7 @@
     void pass_on(std::shared_ptr<const HttpMessage> message);
     void write();
     bool write_rest();
+    void end_unfinished_response();
     void next();
     void linger();
     boost::system::error_code drop_unread();
@@ -138,9 +141,10 @@
     Steady::time_point heard_{};  // when bytes were last read
     TimePoint came_{};            // ... and when they had come
     Outgoing outgoing_;
-    MinimumRate taken_;        // by its client, of its answers
-    bool blocked_ = false;     // an answer, by what lies unacknowledged before it
-    std::uint64_t watch_ = 0;  // a wait of an earlier watch does nothing
+    MinimumRate taken_;              // by its client, of its answers
+    bool blocked_ = false;           // an answer, by what lies unacknowledged before it
+    bool waits_for_server_ = false;  // all that has come of an answer was written
+    std::uint64_t watch_ = 0;        // a wait of an earlier watch does nothing
 };
 
 }  // namespace ochrehub::http
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -18,13 +18,7 @@
 namespace {
 
 constexpr int kInterimMost = 16;
-constexpr std::chrono::milliseconds kHoldMost{
-    50};  // a long answer, or one of unknown length, before it is passed on
-// For a further byte of one that has been passed on in part, behind its time, where whoever takes it was the
-// slow one.
-constexpr Connection::Steady::duration kHeldUp = std::chrono::milliseconds(300);
-constexpr std::chrono::milliseconds kStreamMost{
-    15000};  // no further byte of one that has been passed on in part
+/// While buffers are scarce, a stream is tried again after this time.
 constexpr std::chrono::milliseconds kDryRest{20};
 
 /// A kernel that cannot stamp leaves open when bytes came: then they came when they are read.
@@ -36,15 +30,16 @@
 }  // namespace
 
 Connection::Connection(asio::io_context& io, BufferPool& pool, const Endpoint& to, Duration connect_timeout,
-                       std::chrono::milliseconds answer_most, bool ends_whole)
+                       std::chrono::milliseconds stall, bool ends_whole)
     : io_(io),
       pool_(pool),
       socket_(io),
       timer_(io),
       to_(to),
       connect_timeout_(connect_timeout),
-      answer_most_(answer_most),
-      ends_whole_(ends_whole) {}
+      ends_whole_(ends_whole) {
+    timeouts_.reset({stall, stall, false});
+}
 
 void Connection::expect_answer() {
     parser_.emplace(pool_, whole_most_ > 0 ? whole_most_ : body_most_);
@@ -155,8 +150,8 @@
     switch (outgoing_.next()) {
         case Outgoing::Next::Over:
             written_ = true;
-            if (auto told = std::exchange(on_written_, nullptr)) told();
-            return watched_ ? void() : wait_for_answer();
+            note_written();
+            return;
         case Outgoing::Next::Piece:
             return write_on();
         case Outgoing::Next::Broken:
@@ -169,6 +164,12 @@
     }
 }
 
+void Connection::note_written() {
+    std::uint64_t turn = turn_;
+    if (auto told = std::exchange(on_written_, nullptr)) told();
+    if (turn == turn_ && !watched_) wait_for_answer();
+}
+
 // A server may answer a long body before it has all of it: it is full, say.
 void Connection::watch_early() {
     if (!outgoing_.streams() || std::exchange(watched_, true)) return;
@@ -184,7 +185,8 @@
 }
 
 void Connection::read() {
-    if (stream_ && !unread_ && pool_.dry()) {  // others hold all there is: their clients are slow
+    if (stream_ && !unread_ && pool_.dry() && readable(socket_.native_handle())) {
+        timeouts_.resumed(Steady::now());  // others hold all buffers there are: their clients are slow
         return arm(kDryRest, [this] { read(); });
     }
     if (!unread_) unread_ = pool_.take();
@@ -208,14 +210,15 @@
         }
         if (error) return finish(written_ ? End::Broken : End::NotSent);
         read += got;
-        if (!parser_->got_some()) began_at_ = Steady::now();
+        if (!parser_->got_some()) timeouts_.begun(Steady::now());
         unread_.grow(got);
         std::uint64_t turn = turn_;
         bool over = false;
         if (!parse(over) || turn != turn_ || over) return;
+        if (parser_->got_some()) timeouts_.received(Steady::now(), parser_->body_bytes());
     }
     if (unread_.view().empty()) unread_.release();
-    if (parser_->got_some() && !expect_more()) return;
+    if (parser_->got_some() && !await_more()) return;
     wait_for_answer();
 }
 
@@ -234,11 +237,8 @@
         bool full = bad == boost::beast::http::error::need_buffer;
         if (full && stream_) {
             disarm();  // whoever takes it is slow, not the server
-            held_up_ = true;
             stream_->wait_for_room([self = shared_from_this(), turn = turn_] {
-                if (turn != self->turn_) return;
-                bool ended = false;
-                if (self->parse(ended) && turn == self->turn_ && !ended) self->read();
+                if (turn == self->turn_) self->resume_stream();
             });
             return false;
         }
@@ -268,17 +268,12 @@
             early_ = !written_;
             expect_answer();
             if (unread_.view().empty()) return true;
-            began_at_ = Steady::now();
+            timeouts_.begun(Steady::now());
             continue;
         }
-        if (stream_due()) {
-            if (may_be_other()) return ends(End::Garbage);
-            std::uint64_t turn = turn_;
-            begin_stream();
-            if (turn != turn_) {  // nobody wants it
-                over = true;
-                return true;
-            }
+        if (full) {
+            over = !begin_stream();
+            if (over) return true;
             continue;
         }
         if (unread_.view().empty() || used == 0) return true;
@@ -301,16 +296,26 @@
     return unasked_ || (early_ && (written_ || parser_->message().status < 500));
 }
 
-// Not before something of the body is there: till then another server can still be asked.
-bool Connection::stream_due() const {
-    if (!may_stream_ || stream_ || !parser_->is_header_done() || !parser_->body_begun()) return false;
-    return parser_->full() ||
-           ((parser_->long_body() || !parser_->length_known()) && Steady::now() - began_at_ > kHoldMost);
+ResponseLength Connection::response_length() const {
+    if (!may_stream_) return ResponseLength::Short;
+    if (parser_->long_body() || parser_->body_bytes() > kMaxBody) return ResponseLength::Long;
+    return parser_->length_known() ? ResponseLength::Short : ResponseLength::Unknown;
+}
+
+std::optional<Connection::Steady::time_point> Connection::pass_on_at() const {
+    if (stream_ || !parser_->is_header_done()) return {};
+    return timeouts_.pass_on_at(response_length(), parser_->body_begun());
 }
 
-void Connection::begin_stream() {
+/// Passes on what has come of a response, and what follows. False: the exchange has ended.
+bool Connection::begin_stream() {
+    if (may_be_other()) {
+        finish(End::Garbage);
+        return false;
+    }
     writing_ = false;  // nothing more of the request, if it is not whole: nobody reads its rest
-    held_up_ = false;
+    stalled_ = false;
+    timeouts_.passed_on(Steady::now(), patience_);
     stream_ = std::make_shared<BodyStream>(io_, pool_);
     parser_->pass_rest_to(stream_);
     stream_->when_abandoned([self = shared_from_this(), turn = turn_] {
@@ -325,7 +330,16 @@
     outgoing_.clear();
     on_written_ = nullptr;
     more_ = nullptr;
+    std::uint64_t turn = turn_;
     tell(std::move(result));
+    return turn == turn_;  // else nobody wants it
+}
+
+void Connection::resume_stream() {
+    timeouts_.resumed(Steady::now());
+    bool over = false;
+    std::uint64_t turn = turn_;
+    if (parse(over) && turn == turn_ && !over) read();
 }
 
 void Connection::end_stream(bool whole, bool reusable) {
@@ -345,24 +359,42 @@
     if (Streamed streamed = std::exchange(streamed_, nullptr)) streamed(shared_from_this(), reusable);
 }
 
-/// False: its time is over, and so is the exchange.
-bool Connection::expect_more() {
-    Steady::duration most = answer_most_;
-    if (stream_ && stream_by_) {
-        auto left = *stream_by_ - Steady::now();
-        if (left.count() <= 0 && !held_up_) return finish(End::Garbage), false;
-        most = held_up_ ? std::max(left, std::max(answer_most_, kHeldUp)) : left;
-    } else if (stream_) {
-        most = kStreamMost;
-    } else if (most.count() == 0) {
-        return true;
+/// More of a response that has begun is waited for; what is there is passed on if that is due. False: the
+/// exchange has ended.
+bool Connection::await_more() {
+    Steady::time_point now = Steady::now();
+    auto pass_on = pass_on_at();
+    if (pass_on && *pass_on <= now) {
+        if (!begin_stream()) return false;
+        pass_on.reset();
+    }
+    auto stalled = timeouts_.stalled_at(response_length());
+    if (stalled && *stalled <= now) {
+        finish(End::Stalled);
+        return false;
     }
-    arm(most, [this] { finish(End::Garbage); });
+    disarm();
+    if (pass_on && (!stalled || *pass_on < *stalled)) stalled = pass_on;
+    if (stalled) arm(*stalled - now, [this] { on_response_timer(); });
     return true;
 }
 
+void Connection::set_deadline(Steady::time_point deadline) {
+    timeouts_.set_deadline(deadline);
+    bool answered_early = parser_ && parser_->got_some();
+    if (answered_early) (void)await_more();
+}
+
+// Guards against a loop that was behind: what has arrived meanwhile is read first, and its wait has ended.
+void Connection::on_response_timer() {
+    if (!readable(socket_.native_handle())) (void)await_more();
+}
+
 void Connection::finish(End end, bool reusable) {
-    if (stream_) return end_stream(false, false);
+    if (stream_) {
+        stalled_ = end == End::Stalled;
+        return end_stream(false, false);
+    }
     if ((end == End::Answered || end == End::TooLarge) && may_be_other()) {
         end = End::Garbage;
         reusable = false;
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -11,6 +11,7 @@
 
 #include "http/message.h"
 #include "http/outgoing.h"
+#include "http/response_timeouts.h"
 
 namespace ochrehub::http {
 
@@ -19,8 +20,9 @@
     using Steady = std::chrono::steady_clock;
     using Endpoint = boost::asio::ip::tcp::endpoint;
 
-    /// How an exchange ended. Only NotSent says that the request was not written whole.
-    enum class End { Answered, NotSent, Broken, Garbage, TooLarge };
+    /// How an exchange ended. Only NotSent says that the request was not written whole. Stalled: the response
+    /// had begun, and nothing more of it came in time.
+    enum class End { Answered, NotSent, Broken, Garbage, TooLarge, Stalled };
     struct Result {
         End end = End::Broken;
         std::shared_ptr<HttpMessage> answer;  ///< of an Answered; the head of one TooLarge
@@ -36,12 +38,11 @@
     /// Is handed the connection too, so that it need not hold it: that would keep both alive for good.
     using Done = std::function<void(const std::shared_ptr<Connection>&, Result)>;
 
-    /// `answer_most`: from an answer's first byte on, how long nothing more of it may come; zero: without a
-    /// limit. `ends_whole`: an answer that says of its end that it is the connection's is whole then. It
-    /// cannot be told from one that broke off.
+    /// `stall`: from an answer's first byte on, how long nothing more of it may come; zero: without a limit.
+    /// `ends_whole`: an answer that says of its end that it is the connection's is whole then. It cannot be
+    /// told from one that broke off.
     Connection(boost::asio::io_context& io, BufferPool& pool, const Endpoint& to, Duration connect_timeout,
-               std::chrono::milliseconds answer_most = std::chrono::milliseconds(300),
-               bool ends_whole = false);
+               std::chrono::milliseconds stall = std::chrono::milliseconds(300), bool ends_whole = false);
 
     /// Asked for the request's head once the connection is up. Nothing: it is not to be sent any more.
     using Head = std::function<std::optional<std::string>()>;
@@ -64,14 +65,16 @@
         may_stream_ = true;
         body_most_ = body_most;
     }
-    /// Of the next exchange's answer, in place of what the connection was made with. Once it has been passed
-    /// on in part it ends at `stream_by`, if there is one, whole or not: but one that whoever reads it has
-    /// held up may go on, each byte in time.
-    void limit_answer(Steady::duration most, std::optional<Steady::time_point> stream_by) {
-        answer_most_ = most;
-        stream_by_ = stream_by;
+    /// Of the next exchange's answer, in place of what the connection was made with. Its client waits for
+    /// `patience`, and till `deadline` where it is known by now.
+    void limit_response(const ResponseTimeouts::Policy& policy, Steady::duration patience,
+                        std::optional<Steady::time_point> deadline) {
+        timeouts_.reset(policy);
+        patience_ = patience;
+        if (deadline) timeouts_.set_deadline(*deadline);
     }
-    void stream_to(Steady::time_point stream_by) { stream_by_ = stream_by; }
+    /// Its request has become whole, and its client waits till then.
+    void set_deadline(Steady::time_point deadline);
     /// All answers are held whole, up to `body_most` bytes: what is longer is Garbage.
     void hold_whole(std::uint64_t body_most) { whole_most_ = body_most; }
     void when_streamed(Streamed streamed) { streamed_ = std::move(streamed); }
@@ -95,6 +98,8 @@
     /// At rest, or when it was last looked at, the far side had said what nobody asked for.
     bool spoke() const { return spoke_; }
     bool doubted() const { return doubted_; }
+    /// The last answer that was passed on in part ended because its server had fallen silent.
+    bool stalled() const { return stalled_; }
     bool written() const { return written_; }
     const Endpoint& to() const { return to_; }
 
@@ -106,14 +111,18 @@
     void write();
     void write_on();
     void next_piece();
+    void note_written();
     void watch_early();
     void wait_for_answer();
     void read();
     bool parse(bool& over);
-    bool stream_due() const;
-    void begin_stream();
+    ResponseLength response_length() const;
+    std::optional<Steady::time_point> pass_on_at() const;
+    bool begin_stream();
     void end_stream(bool whole, bool reusable);
-    bool expect_more();
+    bool await_more();
+    void on_response_timer();
+    void resume_stream();
     void expect_answer();
     bool came_too_soon(Duration age);
     bool may_be_other();
@@ -127,9 +136,9 @@
     std::uint64_t armed_ = 0;          // a wait of an earlier arming does nothing
     Endpoint to_;
     Duration connect_timeout_;
-    Steady::duration answer_most_;
-    std::optional<Steady::time_point> stream_by_;
-    bool held_up_ = false;  // a stream, by its reader
+    ResponseTimeouts timeouts_;
+    Steady::duration patience_{};
+    bool stalled_ = false;
     bool ends_whole_;
     bool head_only_ = false;  // what was asked for has no body
     Outgoing outgoing_;
@@ -143,7 +152,6 @@
     std::uint64_t body_most_ = 0, whole_most_ = 0;
     std::shared_ptr<BodyStream> stream_;  // the rest of an answer that has been told
     TimePoint opened_at_{};
-    Steady::time_point began_at_{};        // when the answer's first byte came
     Steady::time_point asked_at_{};        // just before the request's first byte was written
     Steady::time_point answered_at_ = {};  // long ago
     Duration soonest_{}, took_{};
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -95,11 +95,19 @@
     for (const auto& session : all) session->end_half_sent();
 }
 
-std::size_t Front::end_unread() {
+std::size_t Front::end_busy(bool (ClientSession::*ends)()) {
     std::vector<std::shared_ptr<ClientSession>> busy(sessions_.standing(Standing::Busy).begin(),
                                                      sessions_.standing(Standing::Busy).end());
-    return std::size_t(
-        std::count_if(busy.begin(), busy.end(), [](const auto& session) { return session->end_unread(); }));
+    return std::size_t(std::count_if(busy.begin(), busy.end(),
+                                     [ends](const auto& session) { return ((*session).*ends)(); }));
+}
+
+std::size_t Front::end_unread() {
+    return end_busy(&ClientSession::end_unread);
+}
+
+std::size_t Front::end_silent() {
+    return end_busy(&ClientSession::end_silent);
 }
 
 void Front::keep_to(DescriptorBudget budget) {
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -54,6 +54,8 @@
     void end_half_sent();
     /// Closes connections whose clients do not read their answers, and says how many those were.
     std::size_t end_unread();
+    /// The same of those whose servers give no more of an answer that has begun.
+    std::size_t end_silent();
     /// A request that came now would be served, as far as servers are.
     bool serves() const { return open_ && !draining_ && engine_.has_servers(); }
     bool ending() const { return ending_; }
@@ -101,6 +103,7 @@
     void closed(Table::Place place, Standing standing);
 
 private:
+    std::size_t end_busy(bool (ClientSession::*ends)());
     void accept();
     void accept_if_full();
     boost::system::error_code accept_some();
--- a/src/http/http_profile.h
+++ b/src/http/http_profile.h
@@ -27,16 +27,13 @@
     Pass pass = Pass::Only200;
     bool probes_by_status = false;  ///< below 500 is sound; else 200 alone
     std::string probe_path = "/healthz";
-    // From an answer's first byte on, how long nothing more of it may come; zero: no more than the request's
-    // own time. Guards against one that stops short of its length: its request could still be sent elsewhere
-    // in time.
+    /// From an answer's first byte on, how long nothing more of it may come; zero: no more than the request's
+    /// own time. Guards against one that stops short of its length: its request could still be sent elsewhere
+    /// in time.
     std::chrono::milliseconds answer_most{300};
-    /// Servers are known to stand still for longer than that: a quarter of the request's time counts where it
-    /// is more, and a request that may not be sent again has all of its time.
+    /// Servers are known to stand still for longer than that: the answer's length and its request's time
+    /// count too, as response_timeouts.h says.
     bool answer_by_request = true;
-    /// One that has been passed on in part ends with its request's time. Not the platform's: there a long
-    /// answer may go on.
-    bool streams_end = false;
     /// MB of a body; zero: any. Guards against answers whose length makes no sense: once one has begun to go
     /// out, no other server can be asked. The platform's reach 32.
     std::size_t body_mb = 40;
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -84,7 +84,9 @@
     /// The buffer holds no more of it.
     bool full() const { return full_; }
     /// Something of the body has come.
-    bool body_begun() const { return begun_; }
+    bool body_begun() const { return body_bytes_ > 0; }
+    /// ... and so much.
+    std::uint64_t body_bytes() const { return body_bytes_; }
     bool length_known() const { return length_.has_value(); }
     /// Its connection ends behind it, by its own word.
     bool message_says_close() const { return says_close_; }
@@ -119,14 +121,18 @@
         bool bodied = this->chunked() || this->content_length().value_or(0) > 0;
         if (!plain_framing(*message_) || (kRequest && message_->method == "GET" && bodied))
             error = boost::beast::http::error::bad_content_length;
+        if (auto length = this->content_length()) length_ = *length;
     }
     void on_body_init_impl(const boost::optional<std::uint64_t>& length, Error&) override {
         if (length && *length <= kShortBody) message_->short_body.reserve(std::size_t(*length));
         is_short_ = held_whole_ || (length && *length <= kShortBody);
-        if (length) length_ = *length;
     }
     std::size_t on_body_impl(Text body, Error& error) override {
-        begun_ = begun_ || !body.empty();
+        std::size_t taken = take_body(body, error);
+        body_bytes_ += taken;
+        return taken;
+    }
+    std::size_t take_body(Text body, Error& error) {
         if (stream_) {
             std::size_t taken = stream_->put(view(body));
             if (taken < body.size()) error = boost::beast::http::error::need_buffer;
@@ -154,8 +160,8 @@
     std::shared_ptr<HttpMessage> message_;
     std::shared_ptr<BodyStream> stream_;
     std::optional<std::uint64_t> length_;
-    bool held_whole_ = false, is_short_ = false, headed_ = false, begun_ = false, full_ = false,
-         says_close_ = false;
+    std::uint64_t body_bytes_ = 0;
+    bool held_whole_ = false, is_short_ = false, headed_ = false, full_ = false, says_close_ = false;
 };
 
 /// The path of a request's target: without the host of a whole URL, and without the query.
--- a/src/http/receive.cpp
+++ b/src/http/receive.cpp
@@ -62,6 +62,11 @@
     return getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 && closed_by_peer(info);
 }
 
+bool readable(int socket) {
+    pollfd seen{socket, POLLIN, 0};
+    return poll(&seen, 1, 0) == 1;
+}
+
 std::optional<Duration> since_last_arrival(int socket) {
     tcp_info info{};
     socklen_t size = sizeof info;
--- a/src/http/receive.h
+++ b/src/http/receive.h
@@ -19,6 +19,9 @@
 /// where the kernel does not say.
 bool gone(int socket);
 
+/// A read of it would not wait: bytes lie there, or its end. Never waits.
+bool readable(int socket);
+
 /// How many bytes written to it, its end counted as one, the far side's system does not have yet; none where
 /// the kernel does not say.
 int unacknowledged(int socket);
--- a/src/http/server_pool.cpp
+++ b/src/http/server_pool.cpp
@@ -16,9 +16,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds kSweep{250};
-// Behind a request's time, an answer of which a part has been passed on: its end must be there within half a
-// second.
-constexpr std::chrono::milliseconds kStreamOver{400};
 
 /// How long a connection may rest that servers close behind `conn_idle`: the way there and a loop that is
 /// behind lie between the look and the request.
@@ -38,6 +35,15 @@
     return ended ? std::optional(std::max(began, *ended)) : std::nullopt;
 }
 
+ResponseTimeouts::Policy response_policy(const HttpProfile& profile, Duration patience, bool may_retry) {
+    if (!profile.answer_by_request) return {profile.answer_most, profile.answer_most, false};
+    // Giving an answer up helps only where another server may be asked.
+    if (!may_retry) return {{}, {}, true};
+    Connection::Steady::duration quarter = span(patience / 4);
+    return {std::max<Connection::Steady::duration>(profile.answer_most, quarter),
+            std::max<Connection::Steady::duration>(ResponseTimeouts::kMaxPause, quarter), true};
+}
+
 LoadReport report_of(const HttpMessage& answer) {
     std::string_view text = answer.header("Endpoint-Load-Metrics");
     if (text.empty()) return {};
@@ -54,7 +60,7 @@
     using End = Connection::End;
     if (result.end == End::NotSent) return result.reusable ? Outcome::NotSent : Outcome::ConnectFailed;
     if (result.end == End::Broken) return Outcome::Reset;
-    if (result.end == End::Garbage || result.end == End::TooLarge) return Outcome::Error;
+    if (result.end != End::Answered) return Outcome::Error;
     int status = result.answer->status;
     if (status == 200) return Outcome::Ok;
     bool turned_away = (status == 503 || status == 504) && result.answer->header("X-Never-Ran") == "1";
@@ -167,6 +173,13 @@
     server->shortest = server->answers++ == 0 ? result.took : std::min(server->shortest, result.took);
 }
 
+void ServerPool::note_stalled(const Connection::Endpoint& server, bool passed_on) {
+    log(LogLevel::Warn, "a server fell silent amid an answer: given up",
+        {{"server", server.address().to_string() + ":" + std::to_string(server.port())},
+         {"passed_on", passed_on}});
+    if (counters_) counters_->responses_given_up.add();
+}
+
 bool ServerPool::make_room() {
     Server* oldest = nullptr;
     for (auto& [id, server] : servers_) {
@@ -199,14 +212,10 @@
         return left.count() > 0 ? std::optional(request_head(*request, left)) : std::nullopt;
     };
     connection->let_stream(profile_.body_bytes());
-    if (profile_.answer_by_request) {
-        auto most = std::max<Connection::Steady::duration>(profile_.answer_most, span(patience / 4));
-        std::optional<Connection::Steady::time_point> stream_by;
-        if (profile_.streams_end) stream_by = began + span(patience) + kStreamOver;
-        connection->limit_answer(events_.may_retry(id) ? most : span(Duration{0}), stream_by);
-    } else {
-        connection->limit_answer(profile_.answer_most, std::nullopt);
-    }
+    auto deadline_from = [patience](Connection::Steady::time_point from) { return from + span(patience); };
+    auto from = time_of(*request, began);
+    connection->limit_response(response_policy(profile_, patience, events_.may_retry(id)), span(patience),
+                               from ? std::optional(deadline_from(*from)) : std::nullopt);
     // Guards rule 2: a repeat whose last byte would be written behind its window.
     connection->ask_before_more([this, id] { return events_.may_send(id); });
     bool doubted = connection->doubted();
@@ -215,10 +224,9 @@
         [this, id, to, doubted](const ConnectionPtr& used, Connection::Result result) {
             attempt_done(id, to, used, std::move(result), doubted);
         },
-        [this, request, began, patience, used = connection.get()] {
+        [this, request, began, deadline_from, used = connection.get()] {
             if (counters_) counters_->attempts_sent.add();
-            if (request->rest && profile_.answer_by_request && profile_.streams_end)
-                used->stream_to(time_of(*request, began).value_or(began) + span(patience) + kStreamOver);
+            used->set_deadline(deadline_from(time_of(*request, began).value_or(began)));
         });
 }
 
@@ -232,9 +240,11 @@
                               Connection::Result result, bool doubted) {
     attempts_.erase(id);
     learn(server, result, doubted);
+    if (result.end == Connection::End::Stalled) note_stalled(connection->to(), false);
     if (result.streams)
         connection->when_streamed([this, server](const ConnectionPtr& used, bool reusable) {
             if (used->spoke()) beware();
+            if (used->stalled()) note_stalled(used->to(), true);
             give_back(server, used, reusable);
         });
     else
@@ -294,7 +304,8 @@
         --connections_;
         events_.probe_ended(to, took(), written ? Outcome::Timeout : Outcome::ConnectFailed, {});
     });
-    connection->limit_answer(profile_.answer_most, std::nullopt);
+    connection->limit_response({profile_.answer_most, profile_.answer_most, false}, span(limit),
+                               std::nullopt);
     // Guards rule 3: as for an attempt, a drain may be told while the connection is still coming up.
     auto head = [this, to, at = connection->to(),
                  text = "GET " + profile_.probe_path + " HTTP/1.1\r\nHost: " + host +
--- a/src/http/server_pool.h
+++ b/src/http/server_pool.h
@@ -93,6 +93,7 @@
     void give_back(EndpointId id, const ConnectionPtr& connection, bool reusable);
     void attempt_done(AttemptId id, EndpointId server, const ConnectionPtr& connection,
                       Connection::Result result, bool doubted);
+    void note_stalled(const Connection::Endpoint& server, bool passed_on);
     void learn(EndpointId id, const Connection::Result& result, bool doubted);
     Duration soonest(const Server& server) const;
     void beware();
--- a/tests/endings_clients_run.cpp
+++ b/tests/endings_clients_run.cpp
@@ -33,7 +33,7 @@
 // Side by side in processes of their own, which have addresses of their own: most of it is waiting.
 int main(int, char** given) {
     std::vector<Part> parts;
-    for (auto some : {leaving, bodies, uploads, stopping, stop_limits, sockets})
+    for (auto some : {leaving, answers, bodies, uploads, stopping, stop_limits, sockets})
         for (Part& rows : some()) parts.push_back(std::move(rows));
     std::vector<pid_t> children;
     for (const auto& rows : parts) {
--- a/tests/endings_run.h
+++ b/tests/endings_run.h
@@ -369,10 +369,11 @@
     std::function<void(const char* program, const char* config)> alone;  // on nodes of its own
 };
 
-// Of endings_leaving, _bodies, _uploads, _stopping, _stop_limit and _sockets.cpp: parts whose rows
+// Of endings_leaving, _answers, _bodies, _uploads, _stopping, _stop_limit and _sockets.cpp: parts whose rows
 // go one after the other, and the parts beside each other.
 using Part = std::vector<Row>;
 std::vector<Part> leaving();
+std::vector<Part> answers();
 std::vector<Part> bodies();
 std::vector<Part> stopping();
 std::vector<Part> sockets();
--- a/tests/server_pool_test.cpp
+++ b/tests/server_pool_test.cpp
@@ -979,16 +979,22 @@
     return std::static_pointer_cast<const http::HttpMessage>(rig.result(1).message)->rest->stream();
 }
 
-// Its client has a part, and must hear of the end within half a second of its time.
+http::BodyStream& stream_of(Rig& rig) {
+    EXPECT_EQ(rig.outcome(1), Outcome::Ok);
+    return std::static_pointer_cast<const http::HttpMessage>(rig.result(1).message)->rest->stream();
+}
+
+// Its client has a part, and must hear of the end within half a second of its time. Nothing in the head says
+// that it is no short answer, which counts by its last byte.
 TEST(ServerPool, AStreamThatFallsSilentOrTricklesIsBrokenBehindItsRequestsTime) {
     for (bool trickles : {false, true}) {
-        http::HttpProfile profile;
-        profile.streams_end = true;
-        Rig rig({}, Rig::settings(), 64, profile);
+        Rig rig;
         auto began = std::chrono::steady_clock::now();
         rig.start(1, milliseconds(300));
         FarPtr far = rig.accept();
-        http::BodyStream& rest = streaming(rig, *far);
+        rig.request_at(*far);
+        far->say("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nthe beginning");
+        http::BodyStream& rest = stream_of(rig);
         auto next = began;
         rig.until([&] {
             rest.drop(rest.view().size());
@@ -999,11 +1005,53 @@
             }
             return rest.broken();
         });
-        EXPECT_GE(std::chrono::steady_clock::now() - began, milliseconds(700));
+        auto took = std::chrono::steady_clock::now() - began;
+        EXPECT_GE(took, milliseconds(700));
+        EXPECT_LT(took, milliseconds(800));
         expect_balance(rig, 0);
     }
 }
 
+// A sound pause between two lumps is no silence: neither the request's time nor a pause of half a second ends
+// what a server still gives, and the first lump alone is passed on in time.
+TEST(ServerPool, AnAnswerInLumpsGoesOnBehindItsRequestsTime) {
+    const std::string head = "HTTP/1.1 200 OK\r\n", lump(30000, 'a');
+    struct {
+        std::string head, begin, end, close;
+    } framings[] = {{"Content-Length: 90000\r\n\r\n", "", "", ""},
+                    {"Transfer-Encoding: chunked\r\n\r\n", "7530\r\n", "\r\n", "0\r\n\r\n"},
+                    {"Connection: close\r\n\r\n", "", "", ""}};
+    for (const auto& framing : framings) {
+        SCOPED_TRACE(framing.head);
+        Rig rig;
+        auto began = std::chrono::steady_clock::now();
+        rig.start(1, milliseconds(400));
+        FarPtr far = rig.accept();
+        rig.request_at(*far);
+        far->say(head + framing.head);
+        auto next = std::chrono::steady_clock::now();
+        http::BodyStream& rest = stream_of(rig);
+        EXPECT_LT(std::chrono::steady_clock::now() - began, milliseconds(400));
+        std::size_t taken = 0;
+        for (int lumps = 1; lumps <= 3; ++lumps) {
+            next += milliseconds(500);
+            rig.until([&] { return std::chrono::steady_clock::now() >= next; });
+            ASSERT_FALSE(rest.broken());
+            std::string piece = framing.begin + lump + framing.end;
+            send(far->fd(), piece.data(), piece.size(), MSG_NOSIGNAL);
+        }
+        if (!framing.close.empty()) far->say(framing.close);
+        far->end();
+        rig.until([&] {
+            taken += rest.view().size();
+            rest.drop(rest.view().size());
+            return rest.over() || rest.broken();
+        });
+        EXPECT_TRUE(rest.over());
+        EXPECT_EQ(taken, 3 * lump.size());
+    }
+}
+
 TEST(ServerPool, AStreamMayStopWhileItsRequestHasTime) {
     http::HttpProfile profile;
     profile.answer_most = milliseconds(20);
@@ -1030,9 +1078,7 @@
     FarPtr far = rig.accept();
     rig.request_at(*far);
     far->say("HTTP/1.1 200 OK\r\nContent-Length: 250000\r\n\r\n" + std::string(200000, 'a'));
-    EXPECT_EQ(rig.outcome(1), Outcome::Ok);
-    http::BodyStream& rest =
-        std::static_pointer_cast<const http::HttpMessage>(rig.result(1).message)->rest->stream();
+    http::BodyStream& rest = stream_of(rig);
     rig.until([&] { return rest.view().size() == BufferPool::kSize; });
     rig.turn();
     usleep(600000);
@@ -1050,9 +1096,7 @@
 
 // The end of its time moves with the end of its body.
 TEST(ServerPool, AStreamThatAnswersAnUploadEndsBehindThatOnesTime) {
-    http::HttpProfile profile;
-    profile.streams_end = true;
-    Rig rig({}, Rig::settings(), 64, profile);
+    Rig rig;
     auto stream = std::make_shared<http::BodyStream>(rig.io, rig.pool);
     rig.start(1, longer(1, stream, 10), milliseconds(200));
     FarPtr far = rig.accept();
@@ -1060,12 +1104,16 @@
     rig.turn();
     auto ended = std::chrono::steady_clock::now();
     stream->end();
-    http::BodyStream& rest = streaming(rig, *far);
+    rig.request_at(*far);
+    far->say("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nthe beginning");
+    http::BodyStream& rest = stream_of(rig);
     rig.until([&] {
         rest.drop(rest.view().size());
         return rest.broken();
     });
-    EXPECT_GE(std::chrono::steady_clock::now() - ended, milliseconds(600));
+    auto took = std::chrono::steady_clock::now() - ended;
+    EXPECT_GE(took, milliseconds(600));
+    EXPECT_LT(took, milliseconds(750));
 }
 
 TEST(ServerPool, AStreamThatIsCutIsBroken) {
