Bound what the kernel holds of each connection, and free a long body's first buffer

No socket had a size set: the kernel keeps up to 4 MB of an answer for each client that reads slowly, and lets servers fill its receive buffers meanwhile. 600 slow readers of 32 MB answers, limit 96 MB: 795 MB to send, 202 MB received, 55 MB resident. That a platform counts these is suspected only; nothing ended by itself here.

Change. socket_buffers.h bounds unsent, sent and unread bytes of each connection. A long body gives its first buffer back once it cannot be sent again: two buffers hold it, not three. Buffers in use: new requests get 503 from 6/16 of the memory on (1/2 before), streams wait from 7/16 on (5/8 before). Metrics process_resident_memory_bytes and app_buffer_bytes.

--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -1,7 +1,10 @@
 #include "admin/metrics.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <cstdint>
+#include <fstream>
 
 namespace ochrehub::admin {
 namespace {
@@ -15,6 +18,13 @@
     out.append(name).append(" ").append(std::to_string(value)).append("\n");
 }
 
+/// Zero where the kernel does not say.
+std::int64_t resident_memory_bytes() {
+    std::int64_t all_pages = 0, resident_pages = 0;
+    std::ifstream("/proc/self/statm") >> all_pages >> resident_pages;
+    return resident_pages * sysconf(_SC_PAGESIZE);
+}
+
 }  // namespace
 
 std::string escaped(std::string_view text) {
@@ -55,6 +65,10 @@
     put(out, "app_stop_given_up_total", counters.given_up_for_stop.get());
     describe(out, "app_current", "gauge", "Requests taken and not ended.");
     put(out, "app_current", std::max<std::int64_t>(0, counters.active_requests.get()));
+    describe(out, "app_buffer_bytes", "gauge", "Buffers of requests and responses in use.");
+    put(out, "app_buffer_bytes", counters.buffer_bytes.get());
+    describe(out, "process_resident_memory_bytes", "gauge", "Resident memory of the process.");
+    put(out, "process_resident_memory_bytes", resident_memory_bytes());
     describe(out, "app_cluster_size", "gauge", "Servers in the list.");
     put(out, "app_cluster_size", counters.listed_endpoints.get());
     describe(out, "app_cluster_unhealthy", "gauge", "Listed servers that get nothing new now.");
--- a/src/base/buffer_pool.h
+++ b/src/base/buffer_pool.h
@@ -59,18 +59,24 @@
     static constexpr std::size_t kSize = std::size_t{64} * 1024;  // the largest body there is
     static constexpr std::size_t kPerMb = (std::size_t{1} << 20) / kSize;
 
-    /// Of the memory that the process may hold, free buffers keep a sixteenth; half is the most to be in use
-    /// before whoever can do without a further one should.
+    /// Of the memory that the process may hold, free buffers keep a sixteenth; six are the most to be in use
+    /// before whoever can do without a further one should, and seven before streams wait. The rest is for all
+    /// else, and for what the kernel holds of connections.
     explicit BufferPool(std::size_t memory_mb) { keep_to(memory_mb); }
     void keep_to(std::size_t memory_mb) {
+        memory_mb_ = memory_mb;
         kept_ = memory_mb * kPerMb / 16;
-        most_ = memory_mb * kPerMb / 2;
+        most_ = memory_mb * kPerMb * 6 / 16;
+        dry_ = memory_mb * kPerMb * 7 / 16;
         if (free_.size() > kept_) free_.resize(kept_);
     }
 
     bool scarce() const { return out_ >= most_; }
     /// So much is in use that what can wait for a buffer must.
-    bool dry() const { return out_ >= most_ + most_ / 4; }
+    bool dry() const { return out_ >= dry_; }
+    /// What the process may hold in all.
+    std::size_t memory_mb() const { return memory_mb_; }
+    std::size_t bytes_in_use() const { return out_ * kSize; }
     Buffer take() {
         ++out_;
         if (free_.empty())
@@ -82,7 +88,7 @@
 
 private:
     friend class Buffer;
-    std::size_t kept_ = 0, most_ = 0, out_ = 0;
+    std::size_t memory_mb_ = 0, kept_ = 0, most_ = 0, dry_ = 0, out_ = 0;
     std::vector<std::unique_ptr<char[]>> free_;
 };
 
--- a/src/engine/counters.h
+++ b/src/engine/counters.h
@@ -36,6 +36,7 @@
     Counter given_up_for_stop;      ///< requests that a stop ended before their own deadline
     Counter uploads_given_up;       ///< request bodies that their server did not take in time
     Counter responses_given_up;     ///< responses that had begun and whose server fell silent
+    Counter buffer_bytes;           ///< held in buffers of messages
     Counter listed_endpoints;       ///< servers in the list
     Counter unavailable_endpoints;  ///< listed servers that get no new requests
 };
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "http/receive.h"
+#include "http/socket_buffers.h"
 
 namespace ochrehub::http {
 
@@ -85,6 +86,7 @@
     if (!error) socket_.non_blocking(true, error);
     if (!error) socket_.set_option(asio::ip::tcp::no_delay(true), error);
     if (!error) stamp(socket_);
+    if (!error) bound_socket_buffers(socket_.native_handle(), pool_.memory_mb());
     if (error) return finish(End::NotSent);  // no descriptor, say
     arm(std::chrono::duration_cast<Steady::duration>(connect_timeout_), [this] { finish(End::NotSent); });
     socket_.async_connect(to_, [self = shared_from_this(), turn = turn_](error_code failed) {
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -14,6 +14,7 @@
 #include "base/log.h"
 #include "http/client_session.h"
 #include "http/receive.h"
+#include "http/socket_buffers.h"
 
 namespace ochrehub::http {
 
@@ -177,6 +178,7 @@
     admission_.connection_opened(engine_.now());
     error_code ignored;  // one that came before this process had the listener has nothing of it
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    bound_socket_buffers(socket.native_handle(), pool_.memory_mb());
     auto session = std::make_shared<ClientSession>(std::move(socket), *this, over, ++connections_);
     session->start(sessions_.enter(session));
 }
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -30,7 +30,7 @@
     std::string method, target;  ///< of a request
     int status = 0;              ///< of an answer
     Headers headers;
-    Buffer body;
+    mutable Buffer body;
     /// A body of known length up to kShortBody, in place of a buffer: most are short, a request that waits
     /// keeps its own, and 64 KiB for each would use up the memory long before the descriptors.
     std::string short_body;
@@ -40,6 +40,10 @@
     std::optional<std::uint64_t> length;
     bool http_1_0 = false;
 
+    /// Gives the buffer back where the message cannot be sent again anyway.
+    void release_spent_body() const {
+        if (!replayable()) body.release();
+    }
     bool replayable() const override { return !rest || !rest->stream().spent(); }
     /// Empty where there is none.
     std::string_view header(std::string_view name) const {
--- a/src/http/outgoing.h
+++ b/src/http/outgoing.h
@@ -67,6 +67,7 @@
     Next next() {
         if (!rest_) return Next::Over;
         rest_->drop(std::exchange(piece_, 0));
+        message_->release_spent_body();
         if (std::string_view more = rest_->view(); !more.empty()) {
             piece_ = more.size();
             frame({}, more);
--- a/src/http/server_pool.cpp
+++ b/src/http/server_pool.cpp
@@ -364,6 +364,7 @@
             if (old(c)) c->close();
         connections_ -= std::erase_if(server.idle, old);
     }
+    if (counters_) counters_->buffer_bytes.set(std::int64_t(pool_.bytes_in_use()));
     sweep_.expires_after(kSweep);
     sweep_.async_wait([this](boost::system::error_code stopped) {
         if (!stopped) retire_idle();
--- a/tests/endings_answers.cpp
+++ b/tests/endings_answers.cpp
@@ -11,9 +11,15 @@
 
 /// How a server writes an answer; a request's target names the framing and the number.
 enum class Framing { Length, Chunked, Close };
-enum class Way { PauseThenLumps, LumpsApart, NeverEnds };
+enum class Way { PauseThenLumps, LumpsApart, NeverEnds, Huge };
 
 void write_answer(int fd, Framing framing, Way way) {
+    if (way == Way::Huge) {
+        const std::string body(std::size_t{32} << 20, 'h');
+        std::string huge =
+            "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        return void(send_all(fd, huge.data(), huge.size()));
+    }
     std::string head = "HTTP/1.1 200 OK\r\n", lump(kLump, 'a');
     if (framing == Framing::Length) head += "Content-Length: " + std::to_string(kLump * kLumps) + "\r\n";
     if (framing == Framing::Chunked) head += "Transfer-Encoding: chunked\r\n";
@@ -63,14 +69,18 @@
     bool reset = false;
 };
 
+std::string request_of(const std::string& method_and_class, Framing framing, Way way, const char* version) {
+    std::string id = std::to_string(next_id++);
+    return method_and_class + "?" + std::to_string(int(framing)) + "," + std::to_string(int(way)) +
+           "&id=" + id + " HTTP/" + version + "\r\nHost: n\r\nX-Trace-Id: " + id +
+           "\r\nIdempotency-Key: " + id + "\r\nX-Expires-In: 0.5\r\nConnection: close\r\n\r\n";
+}
+
 Answer ask_slow(const World& world, const std::string& method_and_class, Framing framing, Way way,
                 const char* version = "1.1") {
     int fd = world.connect();
-    std::string id = std::to_string(next_id++);
     Steady::time_point began = Steady::now();
-    put(fd, method_and_class + "?" + std::to_string(int(framing)) + "," + std::to_string(int(way)) +
-                "&id=" + id + " HTTP/" + version + "\r\nHost: n\r\nX-Trace-Id: " + id +
-                "\r\nIdempotency-Key: " + id + "\r\nX-Expires-In: 0.5\r\nConnection: close\r\n\r\n");
+    put(fd, request_of(method_and_class, framing, way, version));
     Answer answer;
     std::string body;
     answer.head = read_head(fd, body);
@@ -161,12 +171,52 @@
     assert(over < 3000 + 700);
 }
 
+/// What the node's system holds of all connections: written and not acknowledged, received and not read.
+std::pair<unsigned long, unsigned long> held_by_system(const SlowWorld& slow) {
+    const unsigned clients = ntohs(slow.world.clients.at.sin_port);
+    const unsigned server = ntohs(slow.server.listener.at.sin_port);
+    std::pair<unsigned long, unsigned long> held;
+    std::ifstream table("/proc/net/tcp");
+    for (std::string line; std::getline(table, line);) {
+        unsigned local = 0, remote = 0;
+        unsigned long unsent = 0, unread = 0;
+        if (std::sscanf(line.c_str(), "%*d: %*8[0-9A-F]:%x %*8[0-9A-F]:%x %*x %lx:%lx", &local, &remote,
+                        &unsent, &unread) != 4)
+            continue;
+        if (local == clients) held.first += unsent;
+        if (remote == server) held.second += unread;
+    }
+    return held;
+}
+
+/// Each slow reader of a long answer had megabytes in the kernel's buffers, which a platform may count as the
+/// node's memory: 780 MB of 256 readers, where the limit was 96.
+void slow_readers_in_the_system(const char* program, const char* config) {
+    constexpr unsigned long kReaders = 12, kMostEach = 256 * 1024;  // of 192 MB
+    SlowWorld slow(program, config);
+    std::vector<int> readers;
+    for (unsigned long i = 0; i < kReaders; ++i) {
+        readers.push_back(slow.world.connect());
+        put(readers.back(), request_of("POST /buy", Framing::Length, Way::Huge, "1.1"));
+        std::string behind;
+        assert(read_head(readers.back(), behind).starts_with("HTTP/1.1 200"));
+    }
+    usleep(500000);
+    auto [unsent, unread] = held_by_system(slow);
+    std::printf("%-28s %lu bytes to send, %lu received\n", "slow_readers_in_the_system", unsent, unread);
+    std::fflush(stdout);
+    assert(unsent > 0 && unsent < kReaders * kMostEach && unread < kReaders * kMostEach);
+    for (int fd : readers) close(fd);
+    slow.node.stop();
+}
+
 }  // namespace
 
 std::vector<Part> answers() {
     return {
         {{"answers_in_lumps", {}, answers_in_lumps}, {"answers_without_an_end", {}, answers_without_an_end}},
-        {{"silent_answer_in_a_stop", {}, silent_answer_in_a_stop}}};
+        {{"silent_answer_in_a_stop", {}, silent_answer_in_a_stop}},
+        {{"slow_readers_in_the_system", {}, slow_readers_in_the_system}}};
 }
 
 }  // namespace ochrehub::run
--- a/tests/message_bodies.cpp
+++ b/tests/message_bodies.cpp
@@ -37,7 +37,7 @@
 }  // namespace
 
 int main() {
-    BufferPool pool(1);  // 16 buffers, 8 of them before they are scarce
+    BufferPool pool(1);  // 16 buffers, 6 of them before they are scarce
     for (std::size_t size :
          {std::size_t{1}, std::size_t{2047}, std::size_t{2048}, std::size_t{2049}, BufferPool::kSize}) {
         std::string body(size, 'x');
