Send nothing more to a server whose address a newcomer has

The pool knows servers by their id. A change that names a newcomer at an address before any change tells of the end of the server that had it left both listed, and the earlier one's work was written to the newcomer: cold, and maybe of another rack.

With such a change the earlier one gets nothing more, and its idle connections are closed; logged. A whole list, or one that tells of the end, did so before. Until the list says anything the two cannot be told apart.

Not played with whole nodes.

--- a/src/http/server_pool.cpp
+++ b/src/http/server_pool.cpp
@@ -115,6 +115,7 @@
         server.key = entry.key != 0 ? entry.key : entry.endpoint;
         server.sendable = entry.phase == Phase::Ready || (entry.phase == Phase::Removed && !removal_binds_);
     }
+    if (listing.update.kind == UpdateKind::Delta) drop_displaced(listing);
     // Nothing new goes to the others, and what is out there needs no more than its connection.
     for (auto it = servers_.begin(); it != servers_.end();) {
         if (!it->second.sendable) close_idle_connections(it->first);
@@ -122,6 +123,24 @@
     }
 }
 
+// Guards against a new process at the address of one that has gone: changes may name it before they tell of
+// the other's end, whose work would go to it.
+void ServerPool::drop_displaced(const EndpointList& changes) {
+    std::unordered_set<EndpointId> named;
+    for (const EndpointEntry& entry : changes.update.entries) named.insert(entry.endpoint);
+    for (auto& [id, server] : servers_) {
+        if (!server.sendable || named.contains(id)) continue;
+        auto has_its_address = [&, holder = &server](EndpointId other) {
+            const Server* newcomer = find(other);
+            return newcomer && newcomer->sendable && newcomer->address == holder->address;
+        };
+        if (std::none_of(named.begin(), named.end(), has_its_address)) continue;
+        log(LogLevel::Warn, "another server has the address of a listed one, which gets nothing more",
+            {{"server", server.key}});
+        server.sendable = false;
+    }
+}
+
 ServerPool::ConnectionPtr ServerPool::connection_to(EndpointId id) {
     Server* known = find(id);
     if (!known) return nullptr;
--- a/src/http/server_pool.h
+++ b/src/http/server_pool.h
@@ -90,6 +90,7 @@
     }
     ConnectionPtr connection_to(EndpointId id);
     void close_idle_before(Server& server, TimePoint start);
+    void drop_displaced(const EndpointList& changes);
     void give_back(EndpointId id, const ConnectionPtr& connection, bool reusable);
     void attempt_done(AttemptId id, EndpointId server, const ConnectionPtr& connection,
                       Connection::Result result, bool doubted);
--- a/tests/server_pool_test.cpp
+++ b/tests/server_pool_test.cpp
@@ -438,6 +438,26 @@
     EXPECT_EQ(old->heard(), "");
 }
 
+// Its work went to the wrong process: a change named the newcomer and told nothing of the one that had gone.
+TEST(ServerPool, AServerWhoseAddressANewcomerHasGetsNothing) {
+    Rig rig(always_rested());
+    FarPtr old = one_at_rest(rig);
+    EndpointList change;
+    change.update.kind = UpdateKind::Delta;
+    EndpointEntry& entry = change.update.entries.emplace_back();
+    entry.endpoint = Rig::kServer + 1;
+    entry.phase = Phase::Ready;
+    change.addresses = {rig.door.address};
+    change.ids = {"newcomer"};
+    rig.servers.update_endpoints(change);
+    rig.start(2);
+    EXPECT_EQ(rig.outcome(2), Outcome::ConnectFailed);
+    EXPECT_TRUE(old->closed());
+    rig.servers.start_attempt({3, 0}, Rig::kServer + 1, Rig::request(3), std::chrono::seconds(60));
+    FarPtr far = rig.accept();
+    EXPECT_TRUE(rig.request_at(*far).starts_with("POST /3 "));
+}
+
 TEST(ServerPool, NoMoreConnectionsThanItMayKeep) {
     Rig rig({}, Rig::settings(), 2);
     rig.start(1);
