Keep the id of an order whose client has left, also for the other process

Ids were held while their request was open, in one process. A client's end closes a request that its server may still execute.

Change. takeover/request_id_table.h: a word for each id of a class that may not be executed twice, in a file that the processes of a node map, taken by compare-and-swap. An id is free again once its request is known not to have been executed, or its client has its answer; else 60 s behind its deadline. One that comes meanwhile gets 409, logged. Ids of lookups go as before.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -33,6 +33,7 @@
 #include "http/front.h"
 #include "http/server_pool.h"
 #include "takeover/instance_lock.h"
+#include "takeover/request_id_table.h"
 
 namespace ochrehub::app {
 namespace {
@@ -263,6 +264,11 @@
         if (plan.keepers.keys.empty())
             log(LogLevel::Warn, "[keepers] has no key_file: whoever answers there is believed");
     }
+    const std::string& folder = config.scratch;
+    std::string files =
+        "ochrehub-" + config.listen.address().to_string() + "-" + std::to_string(config.listen.port());
+    bool shares_ids = config.inherited && !folder.empty();
+    takeover::RequestIdTable executed_ids(shares_ids ? folder + "/" + files + ".ids" : "");
     std::optional<http::Front> front;  // no list comes before there is one
     std::optional<admin::Side> side;
     Opening opening(io, config.inherited.has_value());
@@ -280,10 +286,7 @@
     engine.connect(connections, servers.registry());
     figures::Figures figures(io, config.names, &counters);
     front.emplace(io, pool, engine, figures, config.settings, config.names, config.listen, config.inherited,
-                  budget, ~config.seed, plan.profile);
-    const std::string& folder = config.scratch;
-    std::string files =
-        "ochrehub-" + config.listen.address().to_string() + "-" + std::to_string(config.listen.port());
+                  budget, ~config.seed, executed_ids, plan.profile);
     admin::Side::Fleet shown;
     if (fleet) shown.members = [&] { return fleet->members_json(); };
     if (fleet || rules)
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -7,6 +7,14 @@
 
 namespace ochrehub {
 
+namespace {
+
+bool proves_not_executed(Outcome outcome) {
+    return outcome == Outcome::NotSent || outcome == Outcome::ConnectFailed || outcome == Outcome::Rejected;
+}
+
+}  // namespace
+
 Engine::Engine(Scheduler& scheduler, const Settings& settings, std::uint64_t seed)
     : scheduler_(scheduler),
       balancer_(settings, seed),
@@ -81,6 +89,12 @@
     post(RequestBodyReceived{id, deadline});
 }
 
+bool Engine::may_have_been_executed(RequestId id) {
+    Request* request = find(id);
+    return request && std::any_of(request->attempts.begin(), request->attempts.end(),
+                                  [](const Attempt& attempt) { return !attempt.not_executed; });
+}
+
 void Engine::client_disconnected(RequestId id) {
     Request* request = find(id);
     if (!request || request->completed) return;
@@ -245,6 +259,7 @@
     Attempt& attempt = request->attempts[std::size_t(id.attempt)];
     if (attempt.ended) return;
     attempt.ended = true;
+    attempt.not_executed = proves_not_executed(result.outcome);
     stop_timer(attempt.timeout_timer);
     --request->open_attempts;
     if ((result.outcome == Outcome::Ok || result.message) && !request->completed)
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -32,6 +32,8 @@
     /// The body of a request that was submitted with receiving_body is complete, or no longer waited for; its
     /// deadline is `deadline`. Only the first call counts.
     void body_received(RequestId id, TimePoint deadline);
+    /// Whether an attempt of the request has been executed, or may be.
+    bool may_have_been_executed(RequestId id);
     /// The client of this request has disconnected; no response is sent.
     void client_disconnected(RequestId id);
 
@@ -72,6 +74,7 @@
         TimePoint sent_at{}, send_deadline = TimePoint::max();
         TimerId timeout_timer = 0;
         bool ended = false;
+        bool not_executed = false;
     };
     struct Request {
         RequestId id = 0;
--- a/src/http/client_response.cpp
+++ b/src/http/client_response.cpp
@@ -16,6 +16,8 @@
     error_code ignored;
     socket_.cancel(ignored);  // the watch
     if (!trace_.empty()) front_.release(trace_);
+    if (reply.status == FinalStatus::Rejected) release_execution();
+    if (reply.status == FinalStatus::Failed) executes_once_ = false;  // the id stays taken
     TimePoint now = front_.engine().now();
     front_.admission().complete(now, admission_request_, reply.status == FinalStatus::Served, now - entered_,
                                 reply.server_took);
@@ -145,6 +147,7 @@
 
 void ClientSession::next() {
     outgoing_.clear();
+    release_execution();  // its client has its answer
     if (figured_) front_.figures().answered(*figured_, status_);
     figured_.reset();
     class_ = tenant_ = kNone;
--- a/src/http/client_session.cpp
+++ b/src/http/client_session.cpp
@@ -26,6 +26,8 @@
 constexpr std::chrono::milliseconds kMaxSilenceAtStop = ResponseTimeouts::kMaxPause;
 /// The request of a newer connection may still be on its way.
 constexpr std::chrono::milliseconds kMinNewConnectionAge{100};
+/// An id stays taken for so long behind the deadline of a request that may have been executed.
+constexpr std::chrono::seconds kExecutedIdMemory{60};
 /// Of a body that is held whole, once its head is there.
 constexpr double kMinBodyBytesPerMs = 32;
 
@@ -200,6 +202,11 @@
             close_after_ = true;
             return reject(409);
         }
+        if (!claim_execution()) {
+            front_.release(trace_);
+            close_after_ = true;
+            return reject(409);
+        }
     } else if (request->header("X-Trace-Id").empty()) {
         std::erase_if(request->headers, [](const auto& h) { return same_name(h.first, "X-Trace-Id"); });
         request->headers.emplace_back("X-Trace-Id", front_.calls().make_trace_id());
@@ -207,6 +214,7 @@
     head_only_ = request->method == "HEAD";
     if (auto back = front_.admission().admit(entered_, admission_request_)) {
         if (!trace_.empty()) front_.release(trace_);
+        release_execution();
         return refuse(*back);
     }
     rewrites_ = front_.rewrites();
@@ -217,6 +225,21 @@
     if (!upload_) watch_client();
 }
 
+// Guards against an order that is executed twice: its client has left before it had its answer, and sends it
+// again under the same id, to this process or to the other one of an upgrade.
+bool ClientSession::claim_execution() {
+    if (!front_.executes_once(class_)) return true;
+    executes_once_ = front_.executed_ids().claim(trace_, entered_, patience_ + kExecutedIdMemory);
+    if (!executes_once_)
+        log(LogLevel::Warn, "a request came again that may have been executed: not sent",
+            {{"class", front_.class_name(class_)}});
+    return executes_once_;
+}
+
+void ClientSession::release_execution() {
+    if (std::exchange(executes_once_, false)) front_.executed_ids().release(trace_, front_.engine().now());
+}
+
 bool ClientSession::is_client_disconnected() {
     if (state_ == State::Closed) return true;
     if (state_ != State::Waiting || !http::gone(socket_.native_handle())) return false;
@@ -275,6 +298,8 @@
 /// The request goes on for nobody, its client's connection or not.
 void ClientSession::call_off() {
     if (!trace_.empty()) front_.release(trace_);
+    if (!front_.engine().may_have_been_executed(request_)) release_execution();
+    executes_once_ = false;
     front_.engine().client_disconnected(request_);
     TimePoint now = front_.engine().now();
     front_.admission().complete(now, admission_request_, false, now - entered_);
--- a/src/http/client_session.h
+++ b/src/http/client_session.h
@@ -79,6 +79,8 @@
     std::optional<bool> ends_like_chunked_body(std::size_t in_socket);
     void drop_upload();
     void break_off_upload();
+    bool claim_execution();
+    void release_execution();
     void rewrite(HttpMessage& request, int class_index);
     void watch_client();
     void call_off();
@@ -113,8 +115,9 @@
     bool told_to_continue_ = false;
     bool close_after_ = false;
     RequestId request_ = 0;
-    std::string trace_;       // its id, held while it is open; empty: ids need not differ
-    bool head_only_ = false;  // it asked for a head alone
+    std::string trace_;           // its id, held while it is open; empty: ids need not differ
+    bool executes_once_ = false;  // that id is taken for its request's execution
+    bool head_only_ = false;      // it asked for a head alone
     bool http_1_0_ = false;
     bool long_linger_ = false;        // the body of the request is still coming, and means nothing any more
     std::unique_ptr<Upload> upload_;  // of a body that is forwarded as it arrives, until all of it was read
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -40,7 +40,7 @@
 Front::Front(asio::io_context& io, BufferPool& pool, Engine& engine, figures::Figures& figures,
              const Settings& settings, Names names, const asio::ip::tcp::endpoint& listen,
              std::optional<int> inherited, DescriptorBudget budget, std::uint64_t seed,
-             const HttpProfile& profile)
+             takeover::RequestIdTable& executed_ids, const HttpProfile& profile)
     : io_(io),
       pool_(pool),
       engine_(engine),
@@ -54,7 +54,10 @@
       sweep_(io),
       admission_(AdmissionController::from_settings(settings, budget.asked, seed)),
       sessions_(budget),
+      executed_ids_(executed_ids),
       shared_(inherited.has_value()) {
+    for (const ClassSettings& c : settings.classes)
+        executes_once_.push_back(c.idempotency != Idempotency::Idempotent);
     if (shared_) {
         acceptor_.assign(protocol_, *inherited);
     } else {
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <unordered_set>
 #include <utility>
+#include <vector>
 
 #include "admission/admission.h"
 #include "base/buffer_pool.h"
@@ -24,6 +25,7 @@
 #include "http/message.h"
 #include "rewrite/rewrites.h"
 #include "sessions/session_table.h"
+#include "takeover/request_id_table.h"
 
 namespace ochrehub::http {
 
@@ -36,7 +38,7 @@
     Front(boost::asio::io_context& io, BufferPool& pool, Engine& engine, figures::Figures& figures,
           const Settings& settings, Names names, const boost::asio::ip::tcp::endpoint& listen,
           std::optional<int> inherited, DescriptorBudget budget, std::uint64_t seed,
-          const HttpProfile& profile = {});
+          takeover::RequestIdTable& executed_ids, const HttpProfile& profile = {});
 
     /// Connections are accepted from now on.
     void open();
@@ -88,6 +90,9 @@
     /// The ids of the requests that are open here: another with the same would be taken for a second copy.
     bool claim(const std::string& id) { return open_ids_.insert(id).second; }
     void release(const std::string& id) { open_ids_.erase(id); }
+    /// Those of requests that must not be executed twice, which stay taken behind their end.
+    takeover::RequestIdTable& executed_ids() { return executed_ids_; }
+    bool executes_once(int class_index) const { return executes_once_[std::size_t(class_index)]; }
 
     /// While the loop is behind, sessions that can be read wait here for their turn: whoever answers, and the
     /// timers, go between turns.
@@ -126,6 +131,8 @@
     std::uint64_t connections_ = 0;  // that ever came
     Table sessions_;
     std::unordered_set<std::string> open_ids_;
+    takeover::RequestIdTable& executed_ids_;
+    std::vector<bool> executes_once_;  // of each class
     std::shared_ptr<const rewrite::Rewrites> rewrites_;
     LagMeter lag_;
     ReadTurn turn_;
--- a/tests/endings_leaving.cpp
+++ b/tests/endings_leaving.cpp
@@ -306,6 +306,29 @@
     row("end_while_connecting", "3 of 3: the connection came up, and nothing was written");
 }
 
+/// The same id comes again behind its client's end, while its server may still execute it.
+void same_id_after_leaving(World& world, const Node&) {
+    for (const char* path : {"/buy", "/change"})
+        for (Leave how : kLeaves) {
+            long id = next_id++;
+            std::string number = std::to_string(id);
+            std::string request = "POST " + std::string(path) + "?hold&id=" + number +
+                                  " HTTP/1.1\r\nHost: n\r\nX-Trace-Id: " + number +
+                                  "\r\nIdempotency-Key: " + number + "\r\nContent-Length: 0\r\n\r\n";
+            int fd = world.connect();
+            put(fd, request);
+            world.servers.until_begun(id);
+            leave(fd, how);
+            end(fd);
+            world.servers.until_ended(id);
+            int again = world.connect();
+            assert(ask(again, request).starts_with("HTTP/1.1 409"));
+            close(again);
+            assert(world.servers.times(id) == 1);
+        }
+    row("same_id_after_leaving", "6 of 6 told 409, none executed again");
+}
+
 }  // namespace
 
 std::vector<Part> leaving() {
@@ -314,6 +337,7 @@
          {"end_behind_a_pipelined", end_behind_a_pipelined, {}},
          {"end_behind_a_full_buffer", end_behind_a_full_buffer, {}},
          {"end_before_a_retry", end_before_a_retry, {}},
+         {"same_id_after_leaving", same_id_after_leaving, {}},
          {"end_behind_half_a_request", end_behind_half_a_request, {}},
          {"latest_begin_idle", [](World& w, const Node& n) { latest_begin(w, n, false); }, {}},
          {"latest_begin_busy", [](World& w, const Node& n) { latest_begin(w, n, true); }, {}}},
