--- a/tests/play.cpp
+++ b/tests/play.cpp
@@ -162,6 +162,30 @@
     unread[fd].erase(0, std::size_t(taken));
 }
 
+/// Waits until `fd` takes more, and reads meanwhile what the others have: the node keeps little of a long
+/// body, and takes more of it only as its far side reads.
+void wait_to_say(int fd, std::set<int>& ended) {
+    std::vector<pollfd> open{{fd, POLLOUT, 0}};
+    for (const auto& [name, peer] : peers)
+        if (peer != fd && !ended.count(peer)) open.push_back({peer, POLLIN, 0});
+    poll(open.data(), open.size(), -1);
+    for (std::size_t i = 1; i < open.size(); ++i)
+        if (open[i].revents != 0 && !more(open[i].fd)) ended.insert(open[i].fd);
+}
+
+void say(int fd, const std::string& text) {
+    std::set<int> ended;
+    for (std::size_t sent = 0; sent < text.size();) {
+        ssize_t wrote = send(fd, text.data() + sent, text.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (wrote < 0 && errno == EAGAIN) {
+            wait_to_say(fd, ended);
+            continue;
+        }
+        if (wrote <= 0) break;  // the far side may refuse the rest of a message that is too large
+        sent += std::size_t(wrote);
+    }
+}
+
 void pass_over(int fd, const std::string& text) {
     while (unread[fd].find(text) == std::string::npos)
         if (!more(fd)) fail("never came: " + text);
@@ -276,11 +300,7 @@
                 text =
                     "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
             }
-            for (std::size_t sent = 0; sent < text.size();) {
-                ssize_t wrote = send(peers[who], text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
-                if (wrote <= 0) break;  // the far side may refuse the rest of a message that is too large
-                sent += std::size_t(wrote);
-            }
+            say(peers[who], text);
         } else if (word.back() == '<' && peers.count(who)) {
             expect(peers[who], text);
         } else {
