Free the id of an order with any answer that its client has got

exchange.outcomes failed since: it sends several orders under one id, each behind the answer to the one before, among them 502.

--- a/src/http/client_response.cpp
+++ b/src/http/client_response.cpp
@@ -17,7 +17,6 @@
     socket_.cancel(ignored);  // the watch
     if (!trace_.empty()) front_.release(trace_);
     if (reply.status == FinalStatus::Rejected) release_execution();
-    if (reply.status == FinalStatus::Failed) executes_once_ = false;  // the id stays taken
     TimePoint now = front_.engine().now();
     front_.admission().complete(now, admission_request_, reply.status == FinalStatus::Served, now - entered_,
                                 reply.server_took);
