--- a/src/takeover/request_id_table.cpp
+++ b/src/takeover/request_id_table.cpp
@@ -15,7 +15,7 @@
 // free.
 constexpr int kTimeBits = 24;
 constexpr std::uint64_t kTimeMask = (std::uint64_t{1} << kTimeBits) - 1;
-constexpr Duration kTick{100};
+constexpr Duration kTick{1000};
 
 std::uint64_t ticks(TimePoint at) {
     return std::uint64_t(at.time_since_epoch() / kTick) & kTimeMask;
